--- /dev/null
+++ b/tests/test_calm.py
@@ -0,0 +1,93 @@
+"""Odd but legal events are taken calmly; direct misuse is told plainly."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.world import START_US, World, settings, upstreams
+from wickspread.balance import Balancer
+from wickspread.interface import (
+    AttemptEnded,
+    Fail,
+    Outcome,
+    PeerMessage,
+    ProbeEnded,
+    RequestArrived,
+    RequestClass,
+    RequestGone,
+    StreamStarted,
+    Tenant,
+    TimerFired,
+    UpstreamsUpdated,
+)
+from wickspread.interface import ListKind as Kind
+
+
+def test_events_about_what_is_unknown_change_nothing() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    for event in (AttemptEnded(77, 0, 100, Outcome.OK, 5, True), RequestGone(77), TimerFired(123456),
+                  StreamStarted(77, 0, 100, 5), ProbeEnded(4242, Outcome.OK, 5, [1.0, 2.0]),
+                  PeerMessage(1, b"hi"), UpstreamsUpdated(Kind.FAILED)):
+        assert world.tell(event) == []
+    assert world.sends(world.arrive(0))
+
+
+def test_outcomes_after_the_answer_and_gone_after_the_end_are_ignored() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    world.quit(request)
+    assert world.end(request, 0, Outcome.ERROR) == []
+    assert world.tell(AttemptEnded(request, 0, 100, Outcome.OK, 5, True)) == []
+    assert world.tell(RequestGone(request)) == []
+    served = world.arrive(0)
+    world.end(served, 0, Outcome.OK)
+    assert world.tell(RequestGone(served)) == []
+
+
+def test_an_outcome_of_an_attempt_never_made_is_ignored() -> None:
+    world = World()
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    assert world.tell(AttemptEnded(request, 9, 100, Outcome.OK, 5, False)) == []
+
+
+def test_a_stream_that_breaks_is_not_sent_again() -> None:
+    world = World(settings(classes=[RequestClass("feed", 100_000, 500_000, stream=True)]))
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    world.begin_stream(request, 0)
+    world.advance(3_000_000)
+    world.end(request, 0, Outcome.RESET)
+    assert len(world.sends(request)) == 1 and not isinstance(world.answer(request), Fail)
+
+
+def test_the_same_events_and_seed_give_the_same_actions() -> None:
+    first, second, other = (Balancer(settings(), seed, START_US) for seed in (5, 5, 6))
+    told = []
+    for balancer in (first, second, other):
+        actions = balancer.handle(START_US, UpstreamsUpdated(Kind.FULL, upstreams(9)))
+        for n in range(20):
+            actions += balancer.handle(START_US, RequestArrived(n, START_US + 900_000))
+        told.append(actions)
+    assert told[0] == told[1] != told[2]
+
+
+@pytest.mark.parametrize(("make", "words"), [
+    (lambda: RequestClass("x", 0, 10), "aim_us above 0"),
+    (lambda: RequestClass("x", 10, -1), "deadline_us above 0"),
+    (lambda: RequestClass("x", 10, 10, effect="maybe"), "idempotent, deduplicated, at_most_once"),
+    (lambda: RequestClass("x", 10, 10, group="planet"), "all, zone, cell"),
+    (lambda: RequestClass("x", 10, 10, late_worth=2), "late_worth from 0 to 1"),
+    (lambda: Tenant("t", -1), "allowance_per_s of 0 or more"),
+    (lambda: settings(max_attempts=-1), "max_attempts of 1 or more"),
+    (lambda: settings(instances=0), "instances of 1 or more"),
+    (lambda: settings(cold_share=0), "cold_share above 0"),
+    (lambda: settings(warm_up_us=-5), "warm_up_us of 0 or more"),
+    (lambda: settings(classes=[]), "at least one request class"),
+])
+def test_misuse_says_what_was_expected(make: object, words: str) -> None:
+    with pytest.raises(ValueError, match="expected") as caught:
+        make()  # type: ignore[operator]
+    assert words in str(caught.value)
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,77 @@
+"""The deploy file's command answers a real frame; the limits on the decision module."""
+
+from __future__ import annotations
+
+import os
+import struct
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.test_wire import EMPTY, LIST, batch, power_on
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+
+
+@pytest.fixture(scope="module")
+def sim() -> str:
+    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=ROOT, check=True, timeout=300)
+    return str(DEPLOY["sim"])
+
+
+def start(sim: str, data: bytes) -> subprocess.CompletedProcess[bytes]:
+    plain = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
+    return subprocess.run(["/bin/sh", "-c", sim], cwd=ROOT, input=data, capture_output=True, timeout=60,
+                          env=plain)
+
+
+def test_the_deployed_command_answers_and_ends_with_its_input(sim: str) -> None:
+    members = bytes.fromhex("50 0300 02 29000000 00000000")
+    frames = bytes.fromhex(EMPTY) + batch([power_on(), bytes.fromhex(LIST), members])
+    done = start(sim, frames)
+    assert (done.returncode, done.stderr) == (0, b"")
+    assert done.stdout.startswith(bytes(8))
+    size, _ = struct.unpack_from("<II", done.stdout, 8)
+    assert len(done.stdout) == 16 + size
+
+
+def test_the_deployed_command_ends_on_a_bad_frame_with_one_line(sim: str) -> None:
+    done = start(sim, bytes.fromhex(EMPTY) + b"\x01\x00")
+    assert done.returncode != 0 and done.stdout == bytes(8)
+    assert done.stderr.decode().splitlines() == ["wickspread: batch 1: truncated header: 2 of 16 bytes"]
+
+
+def test_the_decision_module_keeps_its_limits() -> None:
+    lines = []
+    for name in DEPLOY["policy"]:
+        lines += (ROOT / name).read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 400
+    assert max(map(len, lines)) <= 110
+    assert "wickspread/interface.py" in lines[0]
+
+
+def test_the_package_needs_the_standard_library_only() -> None:
+    code = "import sys, wickspread.adapter; print(*sorted({m.split('.')[0] for m in sys.modules}))"
+    found = subprocess.run([sys.executable, "-S", "-c", code], cwd=ROOT, capture_output=True, text=True,
+                           check=True, timeout=60).stdout.split()
+    assert set(found) - set(sys.stdlib_module_names) <= {"wickspread", "__main__", "sitecustomize"}
+
+
+def test_the_readme_example_runs_as_written() -> None:
+    text = (ROOT / "README.md").read_text()
+    example = text.split("```python\n")[1].split("```")[0]
+    done = subprocess.run([sys.executable, "-c", example], cwd=ROOT, capture_output=True, text=True,
+                          timeout=60, check=True)
+    shown = text.split("It prints:\n\n```\n")[1].split("```")[0]
+    assert done.stdout == shown
+
+
+def test_the_on_call_page_quotes_the_log_lines_as_they_are() -> None:
+    page, module = ((ROOT / name).read_text() for name in ("docs/on-call.md", DEPLOY["policy"][0]))
+    assert "`upstream 42 rests`" in page and "`upstream 42 is back`" in page
+    assert module.count("api.Log(") == 1
+    assert 'api.Log(f"upstream {server.entry.id} " + ("is back", "rests")[rests])' in module
--- /dev/null
+++ b/wickspread/__init__.py
@@ -0,0 +1,1 @@
+"""wickspread: the decisions of a sidecar balancer for service-to-service calls."""
--- /dev/null
+++ b/wickspread/balance.py
@@ -0,0 +1,453 @@
+"""All decisions of the balancer. Its interface, types, events and actions: wickspread/interface.py.
+
+Everything is slots (docs/design.md): a request takes a free slot of a random upstream, waits in the
+ONE buffer when none is free, is refused when the buffer is taken, and is reissued through a slot.
+"""
+
+import heapq
+import random
+from dataclasses import replace
+
+from wickspread import interface as api
+
+MOST_AT_FIRST = 8.0  # first slots an upstream, all sidecars together: what a few cores serve within an aim
+LEAST_IN_ALL = 3.0  # first slots of one sidecar at all upstreams: 2 refuse what comes together, 4 crowd
+MOST_SLOTS = 8  # times the first slots, however quick the answers
+NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
+GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
+FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
+ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
+MIXER = 0x9E3779B97F4A7C15  # odd and without pattern: ids and keys that differ a little end far apart
+FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
+GAP_US = 1_000_000  # at most a log line and a new own order in this: some answers of a small sidecar
+FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
+
+
+class Slots:
+    """Outstanding sends to one upstream, or to all of them together."""
+
+    def __init__(self, window: float) -> None:
+        self.used = 0
+        self.first = window
+        self.window = window  # how many are open while all is well; below 1 the one slot rests between sends
+        self.rest_until_us = 0
+
+    def free(self, now_us: int) -> int:
+        open_now = int(self.window) if self.window >= 1.0 else int(now_us >= self.rest_until_us)
+        return open_now - self.used
+
+    def follow(self, load: float, needed: bool, floor: float, ways: float) -> None:
+        step = GROWTH * (FULL_LOAD - load) / max(self.window, 1.0)
+        if step < 0.0:
+            # hazard: after an outage all would rest for long, and where all are slow it only refuses more
+            self.window = max(self.window * (1.0 + step), min(self.window, floor))
+        elif self.window < self.first or needed:
+            # hazard: slots opened without need, by many sidecars above all, choke bursts
+            self.window = min(self.window + min(self.window, step * ways), MOST_SLOTS * self.first)
+
+    def rest(self, now_us: int, busy_us: float, chance: float) -> None:
+        if self.window < 1.0:
+            self.rest_until_us = now_us + int(busy_us * (1.0 / self.window - 1.0) * (0.5 + chance))
+
+
+class Server:  # what this sidecar knows of one upstream
+    def __init__(self, entry: api.Upstream, order: float) -> None:
+        self.entry = entry
+        self.order = order  # this sidecar's own, at random
+        self.slots = Slots(1.0)  # one slot, as in the paper
+        self.crowd: float | None = None  # requests it holds by its last report; None = it told none
+        self.told_us = 0  # when it last reported, or left a probe unanswered
+        self.size = 1.0  # its weight, where weights speak of size
+        self.resting = False  # as last logged
+
+
+class Attempt:
+    def __init__(self, server: Server, now_us: int) -> None:
+        self.server = server
+        self.entry = server.entry  # as it was then
+        self.sent_us = now_us
+        self.ended: api.Outcome | None = None  # None while it is out
+
+
+class Request:
+    def __init__(self, event: api.RequestArrived, settings: api.Settings, now_us: int) -> None:
+        self.event = event
+        self.kind = settings.classes[event.class_index]
+        # hazard: lost answers would hold their slots till due, long after they are worth anything
+        aim_passes_us = now_us + self.kind.aim_us - settings.tick_us
+        self.until_us = event.due_us if self.kind.late_worth > 0.0 else min(event.due_us, aim_passes_us)
+        self.attempts: list[Attempt] = []
+        self.asking: list[Server] = []  # free slots whose load it waits to hear
+        self.asked: Server | None = None  # the last one probed for it
+        self.done = False
+
+    def out(self) -> bool:
+        return bool(self.attempts) and self.attempts[-1].ended is None
+
+    def first_that_may_have_run(self) -> Attempt | None:
+        return next((attempt for attempt in self.attempts if attempt.ended not in NEVER_RAN), None)
+
+
+class Balancer:
+    def __init__(self, settings: api.Settings, seed: int, now_us: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.home = settings.zone if settings.cross_zone_fee > 0 else -1  # zones count where crossing costs
+        self.now_us = now_us
+        self.actions: list[api.Action] = []
+        self.servers: dict[int, Server] = {}  # in the order first listed
+        self.requests: dict[int, Request] = {}
+        self.warm: list[Server] = []  # ready ones in this sidecar's own order
+        self.cold: list[Server] = []  # ready ones that may not be warm yet
+        self.buffer: Request | None = None
+        self.asking: dict[int, Request] = {}  # those that wait to hear the load of a few upstreams
+        self.asks = (settings.probes and "in_flight" in settings.report_names
+                     and settings.instances > MOST_AT_FIRST)  # few sidecars know the upstreams by themselves
+        self.fresh_us = min(c.aim_us for c in settings.classes) // 20  # a report counts so long
+        self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
+        self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
+        self.shut = 0.0  # share of attempts that got no connection
+        self.short_us = 0  # when a request last found no free slot
+        self.next_log_us = now_us
+        self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
+        self.armed_us = 0  # the next timer already asked for; 0 = none
+        self.sort_us = now_us  # when the own order is renewed next
+        self.list_wait_us = max(FIRST_RETRY_US, settings.ask_within_us // 2)  # the longest
+        self.list_failures = self.ask_list_us = 0  # failed calls; when the list is asked for next, 0 = never
+        self.ask_list_at(now_us)
+
+    def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
+        self.now_us = now_us
+        if isinstance(event, api.AttemptEnded):
+            self.on_attempt_ended(event)
+        elif isinstance(event, api.RequestArrived) and event.request not in self.requests:
+            self.on_arrival(event)
+        elif isinstance(event, api.TimerFired):
+            # hazard: a stale timer that armed another would never die out
+            self.armed_us = 0 if self.armed_us <= now_us else self.armed_us
+            self.run_due()
+        elif isinstance(event, api.RequestGone) and event.request in self.requests:
+            self.close(self.requests[event.request])
+        elif isinstance(event, api.StreamStarted) and event.request in self.requests:
+            self.requests[event.request].done = True  # the answer is the client's now
+        elif isinstance(event, api.UpstreamsUpdated):
+            self.on_list(event)
+        elif isinstance(event, api.ProbeEnded) and event.upstream in self.servers:
+            self.on_report(self.servers[event.upstream], event.report)
+            for request in [r for r in self.asking.values() if self.servers[event.upstream] in r.asking]:
+                self.choose(request)
+        if self.buffer is not None and self.warm:  # rule 4: cold ones are drawn once a request
+            request, (server, _) = self.buffer, self.draw(self.buffer)
+            if server is not None:
+                self.buffer = None
+                self.send(request, server)
+        self.arm()
+        actions, self.actions = self.actions, []
+        return actions
+
+    def on_arrival(self, event: api.RequestArrived) -> None:
+        request = self.requests[event.request] = Request(event, self.settings, self.now_us)
+        if self.now_us >= self.sort_us:
+            self.sort_servers()
+        self.place(request)
+
+    def place(self, request: Request) -> None:
+        """Through a free slot, else into the buffer, else refused."""
+        in_time = self.now_us < self.latest_start_us(request)
+        server, found = self.draw(request) if in_time else (None, [])
+        short = server is None and in_time and self.may_send(request)
+        self.short_us = self.now_us if short else self.short_us
+        if server is not None and self.asks and server not in self.cold and len(self.asking) < len(self.warm):
+            self.ask(request, found[:ASKED])
+        elif server is not None:
+            self.send(request, server)
+        elif short and (self.buffer is None or self.value(request) > self.value(self.buffer)):
+            # hazard: in a shortage the bulk of cheap requests would keep the dear ones out of every slot
+            holder, self.buffer = self.buffer, request
+            if holder is not None:
+                self.finish(holder)
+            until_us = self.now_us + self.half_aim_us(request.event.class_index)
+            self.wake(min(until_us, self.latest_start_us(request)), "buffer", request.event.request)
+        else:
+            self.finish(request)
+
+    def ask(self, request: Request, few: list[Server]) -> None:
+        """Where reports come with probes, a few free slots are asked and the least crowded is taken. Guards
+        against what a sidecar of little traffic cannot know: crowded, slow or hung upstreams."""
+        request.asking = few
+        self.asking[request.event.request] = request
+        self.wake(self.now_us + self.fresh_us, "ask", request.event.request)
+        self.choose(request)
+
+    def choose(self, request: Request, wait: bool = True) -> None:
+        """The first that holds nothing, asked one by one, else the least crowded; refused if that is full."""
+        for server in request.asking if wait else []:
+            if self.now_us - server.told_us > self.fresh_us:
+                if server is not request.asked:
+                    request.asked = server
+                    self.actions.append(api.Probe(server.entry.id))
+                return
+            if self.crowd(server) < 1.0:
+                break
+        few = [s for s in request.asking if self.open_slots(s) > 0 and self.in_group(request, s)]
+        del self.asking[request.event.request]
+        told = [s for s in few if self.now_us - s.told_us <= self.fresh_us]  # old news refuses nothing
+        one = min(told or few, default=None,
+                  key=lambda s: self.crowd(s) + few.index(s) * self.settings.warm_keys)
+        if one is None or not self.may_send(request):
+            self.place(request)
+        elif (told and one.crowd
+              and self.crowd(one) * self.answer_us[request.event.class_index] > request.kind.aim_us):
+            self.finish(request)  # hazard: queues that outlast the aim serve nobody in time
+        else:
+            self.send(request, one)
+
+    def crowd(self, server: Server) -> float:
+        held = 5.0 if server.crowd is None else server.crowd  # those not known come after those known free
+        return held / server.size + (self.home not in (-1, server.entry.zone))
+
+    def on_report(self, server: Server, report: list[float]) -> None:
+        told = dict(zip(self.settings.report_names, report, strict=False))
+        server.told_us = self.now_us
+        # hazard: what fails at once holds nothing, so its errors a second count like requests held
+        server.crowd = told["in_flight"] + told.get("errors_per_s", 0.0) if "in_flight" in told else None
+
+    def value(self, request: Request) -> float:
+        """The worth of a slot's time for this request."""
+        by_work = self.settings.worth_by_work
+        return request.kind.worth / (1.0 if by_work else self.answer_us[request.event.class_index])
+
+    def half_aim_us(self, class_index: int) -> int:
+        """The delay threshold, and the time of a slow answer: the other half is left for a new try."""
+        return self.settings.classes[class_index].aim_us // 2
+
+    def latest_start_us(self, request: Request) -> int:
+        """Later is not expected back in time; half the aim at most, else long outages would end all tries."""
+        class_index = request.event.class_index
+        return request.until_us - min(int(self.answer_us[class_index]), self.half_aim_us(class_index))
+
+    def finish(self, request: Request) -> None:
+        """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
+        if request.done:
+            return
+        ident, kind = request.event.request, request.kind
+        harmless = (kind.effect == "idempotent" or request.first_that_may_have_run() is None
+                    or (kind.effect == "deduplicated" and kind.group == "all"))
+        self.close(request)
+        # about when a slot frees: one answer's time, spread lest refused clients return together
+        after_us = int(self.answer_us[request.event.class_index] * (0.5 + self.random.random()))
+        most_us = self.settings.max_retry_after_us * self.settings.retry_after
+        self.actions.append(api.Refuse(ident, min(after_us, most_us)) if harmless else api.Fail(ident))
+
+    def close(self, request: Request) -> None:
+        request.done = True
+        self.buffer = None if self.buffer is request else self.buffer
+        self.asking.pop(request.event.request, None)
+        if not request.out():
+            self.requests.pop(request.event.request, None)
+
+    def open_slots(self, server: Server) -> int:
+        """How many more sends an upstream may have now; the one place where health lives."""
+        if server.entry.state is not api.UpstreamState.READY:
+            return 0  # rule 3: draining and gone upstreams get nothing from the moment we are told
+        free = server.slots.free(self.now_us)
+        return free if self.warmth(server) >= 1.0 else min(free, 1 - server.slots.used)
+
+    def judge(self, attempt: Attempt, elapsed_us: int, class_index: int) -> None:
+        """How an attempt's end opens or closes its upstream's slots, and those of all together."""
+        server, outcome, slow_us = attempt.server, attempt.ended, self.half_aim_us(class_index)
+        slots, part = server.slots, MOST_AT_FIRST / self.settings.instances
+        # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
+        load = min(2.0, elapsed_us / slow_us) if outcome is api.Outcome.OK else 2.0
+        needed = attempt.sent_us <= self.short_us + int(4 * slow_us * min(1.0, part))
+        if outcome in (api.Outcome.OK, api.Outcome.FULL) and slots.window >= 0.5:
+            # hazard: small sidecars crowd the fleet, each too seldom at one upstream to learn it; silence is
+            # no sign of a crowd: it may be lost answers, and it holds its slot long enough
+            floor = min(1.0, part / 4 * len(self.warm))
+            self.total.follow(load, needed, floor, max(1.0, self.total.window))
+        self.shut += (float(outcome is api.Outcome.CONNECT_FAILED) - self.shut) / 8
+        if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
+            # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
+            slots.follow(load, needed, min(1.0, part / 4), 1.0)
+            self.answer_us[class_index] += (max(1, elapsed_us) - self.answer_us[class_index]) / 8
+        elif outcome is not api.Outcome.NOT_SENT:
+            # hazard: what fails at once frees its slot at once and so would draw ever more
+            slots.window = max(slots.window / 2, SMALLEST_WINDOW)
+        # hazard: beside answers of seconds, short rests leave a choked upstream crowded
+        busy_us = max(min(self.answer_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
+        slots.rest(self.now_us, busy_us, self.random.random())
+        self.total.rest(self.now_us, busy_us, self.random.random())
+        rests = slots.window < slots.first / (1 if server.resting else 4)
+        if rests != server.resting and self.now_us >= self.next_log_us:  # else told later, if it lasts
+            self.next_log_us, server.resting = self.now_us + GAP_US, rests
+            self.actions.append(api.Log(f"upstream {server.entry.id} " + ("is back", "rests")[rests]))
+
+    def warmth(self, server: Server) -> float:
+        """Rule 4: the share of its capacity that an upstream surely has by now."""
+        s, age_us = self.settings, self.now_us - server.entry.started_us
+        if server.entry.started_us == 0 or age_us >= s.warm_up_us:
+            return 1.0
+        return s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
+
+    def draw(self, request: Request) -> tuple[Server | None, list[Server]]:
+        """A random free slot for this request, and the first few that it is of; if possible of one not yet
+        tried, and of an idle one of this zone (when busy it spills over before it queues)."""
+        if not self.may_send(request) or (not self.asks and self.total.free(self.now_us) <= 0):
+            return None, []
+        found = self.free_slots(request)
+        best = [s for s in found if s.entry.zone == self.home and s.slots.used == 0] or found
+        sizes = [s.size * self.open_slots(s) if self.settings.instances <= FEW else 1.0 for s in best]
+        chosen = self.random.choices(best, sizes)[0] if best else None
+        return (self.cold_turn(request, chosen) if self.cold else chosen), found
+
+    def free_slots(self, request: Request) -> list[Server]:
+        """The first few upstreams in order that have a free slot; those tried only if there are no others."""
+        tried = [attempt.server for attempt in request.attempts]
+        found: list[Server] = []
+        enough = max(FEW * len(self.warm) / self.settings.instances, ASKED * self.asks) + len(tried)
+        for server in self.order(request):
+            if self.open_slots(server) > 0 and self.in_group(request, server):
+                found.append(server)
+                if len(found) >= enough:
+                    break
+        return [server for server in found if server not in tried] or found
+
+    def order(self, request: Request) -> list[Server]:
+        """This sidecar's own; where upstreams remember keys, the key's own, alike in all sidecars. Hazard:
+        at connection limits it opens too many, so after failed connects the own few are kept to."""
+        key = request.event.key
+        if not self.settings.warm_keys or key == 0 or self.shut > 0.2:
+            return self.warm
+
+        def far(server: Server) -> float:  # by chance, the same for all; large and near ones come sooner
+            chance = (((key ^ server.entry.id * MIXER) * MIXER >> 24) % 2**40 + 1) / 2**40
+            return -float(chance ** (1.0 / (server.size * (4 if server.entry.zone == self.home else 1))))
+
+        return sorted(self.warm, key=far)
+
+    def cold_turn(self, request: Request, warm: Server | None) -> Server | None:
+        """Rule 4: of the sends that warm ones have room for (none warm: of arrivals) a cold one gets its
+        share of capacity, by a quarter of the multiple. Hazard: in a shortage all would fall on it."""
+        if warm is None and self.warm:
+            return None
+        shares = [server.size * self.warmth(server) for server in self.cold]
+        rest = sum(server.size for server in self.warm or self.cold)
+        turn = self.random.random() * (rest + sum(shares)) / min(1.0, self.settings.overload_factor / 4)
+        for server, share in zip(self.cold, shares, strict=True):
+            turn -= share
+            if turn < 0.0:
+                return server if self.open_slots(server) > 0 and self.in_group(request, server) else warm
+        return warm
+
+    def sort_servers(self) -> None:
+        """Who is cold, and who is warm in this sidecar's own order: by chance, size, zone and open slots."""
+        self.sort_us = self.now_us + GAP_US
+        ready = [s for s in self.servers.values() if s.entry.state is api.UpstreamState.READY]
+        self.cold = [s for s in ready if self.warmth(s) < 1.0]
+        self.warm = sorted([s for s in ready if self.warmth(s) >= 1.0], key=lambda s: (
+            s.order / min(1.0, s.slots.window) / s.size / (2 if s.entry.zone == self.home else 1)))
+        first = max(LEAST_IN_ALL, MOST_AT_FIRST / self.settings.instances * len(self.warm))
+        self.total.window, self.total.first = self.total.window * first / self.total.first, first
+
+    def may_send(self, request: Request) -> bool:
+        """Rules 1 and 2 as far as they don't depend on the upstream."""
+        first, kind = request.first_that_may_have_run(), request.kind
+        if (request.done or self.now_us >= request.until_us
+                or len(request.attempts) >= self.settings.max_attempts or request.out()):
+            return False  # one attempt at a time: second copies crowd more than they save
+        return (first is None or kind.effect == "idempotent"
+                or (kind.effect == "deduplicated" and self.now_us - first.sent_us < kind.memory_us))
+
+    def in_group(self, request: Request, server: Server) -> bool:
+        """Rule 2: after a keyed attempt that may have run, only upstreams that drop its repeats."""
+        first, kind = request.first_that_may_have_run(), request.kind
+        if first is None or kind.effect != "deduplicated" or kind.group == "all":
+            return True
+        was, now = first.entry, server.entry
+        return was.zone == now.zone if kind.group == "zone" else was.cell == now.cell
+
+    def send(self, request: Request, server: Server) -> None:
+        """The one place of sends: nothing goes out that a rule forbids."""
+        if not (self.may_send(request) and self.in_group(request, server) and self.open_slots(server) > 0):
+            self.finish(request)
+            return
+        server.slots.used += 1
+        self.total.used += 1
+        server.crowd = None if server.crowd is None else server.crowd + 1.0
+        request.attempts.append(Attempt(server, self.now_us))
+        self.actions.append(api.Send(request.event.request, server.entry.id, self.timeout_us(request)))
+
+    def timeout_us(self, request: Request) -> int:
+        """What the class usually takes and some; till the last where none may follow."""
+        kind, left_us = request.event.class_index, request.until_us - self.now_us
+        # hazard: a sidecar that has seen few answers knows little of the long ones and would begin them anew
+        usual_us = max(int(3 * self.answer_us[kind]), self.half_aim_us(kind), 4 * request.event.cost_us)
+        return left_us if request.kind.effect == "at_most_once" else min(left_us, usual_us)
+
+    def on_attempt_ended(self, event: api.AttemptEnded) -> None:
+        request = self.requests.get(event.request)
+        if (request is None or event.attempt >= len(request.attempts)
+                or request.attempts[event.attempt].ended is not None):
+            return  # late, or of a request not known
+        attempt = request.attempts[event.attempt]
+        attempt.ended = event.outcome
+        attempt.server.slots.used -= 1
+        self.total.used -= 1
+        self.judge(attempt, event.elapsed_us, request.event.class_index)
+        if event.report:
+            self.on_report(attempt.server, event.report)
+        if event.final or request.done:
+            self.close(request)
+        else:
+            self.place(request)  # hazard: an upstream that fails a part of its requests would lose them all
+
+    def on_list(self, event: api.UpstreamsUpdated) -> None:
+        if event.kind is api.ListKind.FAILED:
+            # rule 3: inside ask-within; doubled with each failure, jittered as all sidecars fail together
+            wait_us = min(FIRST_RETRY_US << min(self.list_failures, 20), self.list_wait_us)
+            self.list_failures += 1
+            self.ask_list_at(self.now_us + int(wait_us * (0.5 + self.random.random() / 2)))
+            return
+        if event.kind is not api.ListKind.CACHED:  # answered
+            self.list_failures = self.ask_list_us = 0
+        listed = {entry.id for entry in event.upstreams}
+        for entry in event.upstreams:
+            server = self.servers.setdefault(entry.id, Server(entry, self.random.expovariate(1.0)))
+            server.entry = entry
+            if self.settings.weighted and entry.weight > 0.0:
+                server.size = entry.weight
+        for server in self.servers.values():
+            if event.kind is not api.ListKind.DELTA and server.entry.id not in listed:
+                server.entry = replace(server.entry, state=api.UpstreamState.GONE)
+
+        self.sort_servers()
+
+    def ask_list_at(self, at_us: int) -> None:
+        if self.settings.list_on_request:
+            self.ask_list_us = at_us
+            self.wake(at_us, "list", 0)
+
+    def wake(self, at_us: int, what: str, ident: int) -> None:
+        heapq.heappush(self.wakeups, (max(at_us, self.now_us + 1), what, ident))
+
+    def arm(self) -> None:
+        times = [self.wakeups[0][0]] if self.wakeups else []
+        if self.buffer is not None:  # a resting slot opens by time, not by an event
+            rests = [self.total, *[server.slots for server in self.servers.values()]]
+            times += [slots.rest_until_us for slots in rests if slots.rest_until_us > self.now_us]
+        if times and (self.armed_us == 0 or min(times) < self.armed_us):
+            self.armed_us = min(times)
+            self.actions.append(api.SetTimer(self.armed_us, 0))
+
+    def run_due(self) -> None:
+        while self.wakeups and self.wakeups[0][0] <= self.now_us:
+            _, what, ident = heapq.heappop(self.wakeups)
+            if what == "list" and 0 < self.ask_list_us <= self.now_us:
+                # rule 3: a call that is lost must not leave us without a list, so it is made again
+                self.actions.append(api.Subscribe(True))
+                self.ask_list_at(self.now_us + self.list_wait_us)
+            elif what == "ask" and ident in self.asking:
+                self.choose(self.asking[ident], wait=False)
+            elif what == "buffer" and self.buffer is not None and self.buffer.event.request == ident:
+                self.finish(self.buffer)
--- /dev/null
+++ b/wickspread/interface.py
@@ -0,0 +1,294 @@
+"""What a sidecar and the decision module say to each other: settings, events in, actions out.
+
+Times are whole microseconds (`_us`) on the sidecar's own clock, which only moves forward.
+An embedding sidecar makes a `Settings`, hands events to `Balancer.handle` in their order of
+arrival and carries out the actions it gets back in the order given.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+
+class Outcome(enum.Enum):
+    """How one attempt or probe ended."""
+
+    OK = "ok"
+    ERROR = "error"  # answered with an error; may have run
+    FULL = "full"  # turned away unseen; never ran
+    TIMEOUT = "timeout"  # no answer in time; may have run or be running
+    CONNECT_FAILED = "connect_failed"  # no connection; never ran
+    RESET = "reset"  # the connection broke; may have run
+    CANCELLED = "cancelled"  # cancelled by us; may have run
+    NOT_SENT = "not_sent"  # the sidecar could not send it; never ran
+
+
+class UpstreamState(enum.Enum):
+    """What the upstream list says of one upstream."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class ListKind(enum.Enum):
+    """What an `UpstreamsUpdated` event carries."""
+
+    DELTA = "delta"  # changed entries only
+    FULL = "full"  # the complete list
+    CACHED = "cached"  # the complete list as last known, possibly outdated
+    FAILED = "failed"  # a call failed or the subscription broke; the list stays as it was
+
+
+EFFECTS = ("idempotent", "deduplicated", "at_most_once")
+GROUPS = ("all", "zone", "cell")
+
+
+def _require(condition: bool, expected: str, got: object) -> None:
+    if not condition:
+        raise ValueError(f"expected {expected}, got {got!r}")
+
+
+@dataclass(slots=True)
+class RequestClass:
+    """One class of requests."""
+
+    name: str
+    aim_us: int  # an answer within this earns the full worth
+    deadline_us: int
+    worth: float = 1.0
+    late_worth: float = 0.0  # share of the worth left for an answer after the aim
+    aim_stretch: float = 0.0  # the aim grows by this multiple of the request's own work
+    effect: str = "idempotent"
+    group: str = "all"  # deduplicated: which upstreams drop each other's repeats
+    memory_us: int = 0  # deduplicated: how long they remember a request
+    stream: bool = False
+
+    def __post_init__(self) -> None:
+        _require(self.aim_us > 0, "a request class aim_us above 0", self.aim_us)
+        _require(self.deadline_us > 0, "a request class deadline_us above 0", self.deadline_us)
+        _require(self.worth >= 0, "a request class worth of 0 or more", self.worth)
+        _require(0 <= self.late_worth <= 1, "a late_worth from 0 to 1", self.late_worth)
+        _require(self.aim_stretch >= 0, "an aim_stretch of 0 or more", self.aim_stretch)
+        _require(self.effect in EFFECTS, f"an effect out of {', '.join(EFFECTS)}", self.effect)
+        _require(self.group in GROUPS, f"a group out of {', '.join(GROUPS)}", self.group)
+        _require(self.memory_us >= 0, "a memory_us of 0 or more", self.memory_us)
+
+
+@dataclass(slots=True)
+class Tenant:
+    """One tenant and the request rate that is within its share, over all sidecars together."""
+
+    name: str
+    allowance_per_s: float
+    share: float = 0.0
+
+    def __post_init__(self) -> None:
+        _require(self.allowance_per_s >= 0, "a tenant allowance_per_s of 0 or more", self.allowance_per_s)
+        _require(0 <= self.share <= 1, "a tenant share from 0 to 1", self.share)
+
+
+@dataclass(slots=True)
+class Settings:
+    """What the operator allows and wants; the same for all sidecars but for `self_index` and `zone`."""
+
+    classes: list[RequestClass]
+    tenants: list[Tenant] = field(default_factory=list)
+    over_share_worth: float = 1.0
+    worth_by_work: bool = False
+    instances: int = 1
+    self_index: int = 0
+    zone: int = 0
+    tick_us: int = 1000  # the shortest gap between batches
+    max_attempts: int = 1
+    max_retry_after_us: int = 0
+    connect_timeout_us: int = 0
+    retry_after: bool = True  # clients are told how long to stay away
+    cancel: bool = False
+    probes: bool = False
+    peers: bool = False  # messages to other sidecars are allowed
+    second_copies: bool = False  # two attempts of a request may be out together
+    list_on_request: bool = False  # upstream changes come only after Subscribe or FetchList
+    ask_within_us: int = 0  # without a subscription, the list must be asked for this often
+    cold_share: float = 1.0  # an upstream boots at this share of its capacity or more
+    warm_up_us: int = 0  # and is warm after this
+    overload_factor: float = 1.0  # a cold upstream falls over at this multiple of its capacity
+    fall_us: int = 0  # sustained for this long
+    cross_zone_fee: float = 0.0
+    warm_keys: bool = False  # an upstream that has lately served a key serves it with less work
+    report_names: list[str] = field(default_factory=list)
+    weighted: bool = False  # the list's weights speak of size
+
+    def __post_init__(self) -> None:
+        _require(len(self.classes) > 0, "at least one request class", self.classes)
+        _require(self.instances >= 1, "an instances of 1 or more", self.instances)
+        _require(self.self_index >= 0, "a self_index of 0 or more", self.self_index)
+        _require(0 <= self.over_share_worth <= 1, "an over_share_worth from 0 to 1", self.over_share_worth)
+        _require(self.max_attempts >= 1, "a max_attempts of 1 or more", self.max_attempts)
+        _require(0 < self.cold_share <= 1, "a cold_share above 0, at most 1", self.cold_share)
+        _require(self.overload_factor > 0, "an overload_factor above 0", self.overload_factor)
+        for name in ("zone", "tick_us", "max_retry_after_us", "connect_timeout_us", "ask_within_us",
+                     "warm_up_us", "fall_us", "cross_zone_fee"):
+            _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
+
+
+@dataclass(slots=True)
+class Upstream:
+    """One entry of the upstream list."""
+
+    id: int
+    state: UpstreamState = UpstreamState.READY
+    zone: int = 0
+    kind: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    started_us: int = 0  # its most recent start; 0 = long ago
+
+
+# Events
+
+
+@dataclass(slots=True)
+class UpstreamsUpdated:
+    kind: ListKind
+    upstreams: list[Upstream] = field(default_factory=list)
+    version: int = 0
+
+
+@dataclass(slots=True)
+class RequestArrived:
+    request: int
+    due_us: int  # when the client stops waiting
+    class_index: int = 0
+    tenant: int = 0
+    key: int = 0  # 0 = none
+    cost_us: int = 0  # expected work on a standard core; 0 = not known
+    retried: bool = False  # the client sends it again
+    write: bool = False
+
+
+@dataclass(slots=True)
+class RequestGone:
+    """The client has quit; no answer is owed any more."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class AttemptEnded:
+    request: int
+    attempt: int
+    upstream: int
+    outcome: Outcome
+    elapsed_us: int = 0
+    final: bool = False  # the request has ended; otherwise an answer is still owed
+    report: list[float] = field(default_factory=list)  # values in the order of `report_names`
+
+
+@dataclass(slots=True)
+class StreamStarted:
+    request: int
+    attempt: int
+    upstream: int
+    elapsed_us: int = 0
+
+
+@dataclass(slots=True)
+class ProbeEnded:
+    upstream: int
+    outcome: Outcome
+    elapsed_us: int = 0
+    report: list[float] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(slots=True)
+class PeerMessage:
+    sender: int
+    payload: bytes
+
+
+Event = (UpstreamsUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
+         | TimerFired | PeerMessage)
+
+
+# Actions
+
+
+@dataclass(slots=True)
+class Send:
+    """Start an attempt; a request's attempts are numbered 0, 1, 2 ... in the order of their sends."""
+
+    request: int
+    upstream: int
+    timeout_us: int = 0  # 0 = until the client quits
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final answer: not done, and trying again is harmless."""
+
+    request: int
+    retry_after_us: int = 0  # 0 = no advice
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: failed, with no promise about what it did."""
+
+    request: int
+
+
+@dataclass(slots=True)
+class Cancel:
+    request: int
+    attempt: int
+
+
+@dataclass(slots=True)
+class Probe:
+    upstream: int
+
+
+@dataclass(slots=True)
+class SetTimer:
+    at_us: int
+    token: int = 0
+
+
+@dataclass(slots=True)
+class Subscribe:
+    active: bool = True
+
+
+@dataclass(slots=True)
+class FetchList:
+    pass
+
+
+@dataclass(slots=True)
+class CloseIdle:
+    upstream: int
+
+
+@dataclass(slots=True)
+class TellPeer:
+    payload: bytes
+    to: int | None = None  # None = every peer
+
+    def __post_init__(self) -> None:
+        _require(len(self.payload) <= 256, "a payload of 256 bytes at most", len(self.payload))
+
+
+@dataclass(slots=True)
+class Log:
+    text: str
+
+
+Action = (Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe | FetchList | CloseIdle
+          | TellPeer | Log)
