--- /dev/null
+++ b/deploy/build.py
@@ -0,0 +1,28 @@
+"""Brings .venv up to date with the `sidecar` pins of pyproject.toml; does nothing when it already is."""
+
+import subprocess
+import sys
+import tomllib
+import venv
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+VENV = ROOT / ".venv"
+STAMP = VENV / "pins.txt"  # written last: a build that was cut off is done again
+
+
+def main() -> None:
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    pins = project["optional-dependencies"]["sidecar"]
+    stamp = "\n".join([sys.version, str(VENV), *pins])  # a venv holds its interpreter's and its own path
+    python = VENV / "bin" / "python"
+    if python.exists() and STAMP.exists() and STAMP.read_text() == stamp:
+        return
+    venv.create(VENV, clear=True, symlinks=True, with_pip=True)
+    subprocess.run([python, "-m", "pip", "install", "--quiet", "--disable-pip-version-check", *pins],
+                   check=True)
+    STAMP.write_text(stamp)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,284 @@
+"""Stand-ins on loopback sockets: upstreams and discovery that do as they are told, and `run` between them."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Self
+
+from tests.options import OPTIONS
+
+ROOT = Path(__file__).resolve().parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+LONG_S = 20.0  # a bound for a machine that is very busy; nothing waits so long when all is well
+
+
+@dataclass
+class Message:
+    """A request or an answer as it came."""
+
+    start: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def status(self) -> int:
+        return int(self.start.split(" ")[1])
+
+
+def read_message(file: Any) -> Message | None:
+    """One message with a Content-Length or none; None at the end of input."""
+    start = file.readline()
+    if not start.endswith(b"\r\n"):
+        return None
+    headers: dict[str, str] = {}
+    while (line := file.readline()) not in (b"\r\n", b""):
+        name, _, value = line.decode("latin-1").partition(":")
+        headers[name.strip().lower()] = value.strip()
+    size = int(headers.get("content-length", "0"))
+    body = file.read(size)
+    return Message(start.decode().strip(), headers, body) if len(body) == size else None
+
+
+def eventually(what: Callable[[], Any]) -> Any:
+    """Wait until `what` holds, with a wide bound."""
+    end = time.monotonic() + LONG_S
+    while not (found := what()):
+        assert time.monotonic() < end, "it never came to be"
+        time.sleep(0.005)
+    return found
+
+
+def answer(body: bytes = b"", status: str = "200 OK", headers: str = "") -> bytes:
+    return f"HTTP/1.1 {status}\r\n{headers}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class Listener:
+    """A thread accepts, and one thread serves each connection."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        self.open: list[socket.socket] = []
+        self.accepted = 0
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                client, _ = self.socket.accept()
+            except OSError:
+                return
+            self.accepted += 1
+            self.open.append(client)
+            threading.Thread(target=self.guarded, args=(client,), daemon=True).start()
+
+    def guarded(self, client: socket.socket) -> None:
+        try:
+            self.serve(client)
+        except OSError:
+            pass  # the sidecar, or the test, has closed it
+        finally:
+            client.close()
+
+    def serve(self, client: socket.socket) -> None:
+        raise NotImplementedError
+
+    def hang_up(self) -> None:
+        """End the connections that are open now."""
+        for client in self.open[:]:
+            try:
+                client.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.socket.close()
+        self.hang_up()
+
+
+Script = Callable[[Message, socket.socket], bytes | None]
+
+
+class Upstream(Listener):
+    """Answers each request as `script` says: bytes to send, or None to end the connection."""
+
+    names = iter(range(1_000_000))
+
+    def __init__(self, body: bytes = b"ok", script: Script | None = None) -> None:
+        self.script = script or (lambda request, client: answer(body))
+        self.requests: list[Message] = []
+        self.name = f"s-{next(self.names)}"
+        super().__init__()
+
+    def serve(self, client: socket.socket) -> None:
+        with client.makefile("rb") as file:
+            while (request := read_message(file)) is not None:
+                self.requests.append(request)
+                data = self.script(request, client)
+                if data is None:
+                    return
+                client.sendall(data)
+
+    def bodies(self) -> list[bytes]:
+        return [request.body for request in self.requests]
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        return {"host": self.name, "dial": self.address, "site": "a", "class": "m", "block": 0,
+                "health": "in_service", "share": 1.0, "born_ms": 0} | changes
+
+
+class Discovery(Listener):
+    """Answers calls as `reply` says, or with what was told; `tell` writes a line to the watches."""
+
+    def __init__(self, hosts: list[dict[str, Any]]) -> None:
+        self.hosts, self.seq = hosts, 1
+        self.reply: bytes | None = None
+        self.calls: list[str] = []
+        self.watches: list[socket.socket] = []
+        super().__init__()
+
+    def serve(self, client: socket.socket) -> None:
+        with client.makefile("rb") as file:
+            while (request := read_message(file)) is not None:
+                self.calls.append(request.start)
+                if self.reply is not None:
+                    client.sendall(self.reply)
+                    continue
+                client.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.line(client, self.whole())
+                self.watches.append(client)
+
+    def whole(self) -> bytes:
+        return json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode() + b"\n"
+
+    def line(self, client: socket.socket, data: bytes) -> None:
+        client.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def tell(self, *changed: dict[str, Any], pieces: int = 1) -> None:
+        self.seq += 1
+        data = json.dumps({"seq": self.seq, "whole": False, "hosts": changed}).encode() + b"\n"
+        size = -(-len(data) // pieces)
+        for client in eventually(lambda: self.watches):
+            for at in range(0, len(data), size):
+                self.line(client, data[at:at + size])
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    """The settings of tests/options.py as the JSON of a configuration."""
+    pairs = dict(line.split("=", 1) for line in OPTIONS.splitlines())
+    pairs |= {"granularity": "1000", "accounts.count": "0", "areas": "a,b"} | changes
+    told: dict[str, Any] = {}
+    for path, value in pairs.items():
+        if path.endswith(".count"):
+            continue
+        *parents, last = path.split(".")
+        at = told
+        for name in parents:
+            at = at.setdefault(name, {})
+        at[last] = value
+    told["request-classes"] = list(told["request-classes"].values())
+    told.pop("accounts", None)
+    return told
+
+
+class Client:
+    """A connection of the application's."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.socket = socket.create_connection(address, timeout=LONG_S)
+        self.file = self.socket.makefile("rb")
+
+    def send(self, method: str, target: str, body: bytes = b"", **headers: str) -> None:
+        lines = {"Host": "backend.local", "Req-Id": os.urandom(8).hex(), "Req-Deadline": "5.0"}
+        if body or method == "POST":
+            lines["Content-Length"] = str(len(body))
+        lines |= {name.replace("_", "-"): value for name, value in headers.items()}
+        head = "".join(f"{name}: {value}\r\n" for name, value in lines.items() if value)
+        self.socket.sendall(f"{method} {target} HTTP/1.1\r\n{head}\r\n".encode() + body)
+
+    def read(self) -> Message | None:
+        """The next answer; None if the sidecar has ended the connection."""
+        return read_message(self.file)
+
+    def request(self, method: str, target: str, body: bytes = b"", **headers: str) -> Message:
+        self.send(method, target, body, **headers)
+        found = self.read()
+        assert found is not None
+        return found
+
+    def close(self) -> None:
+        self.file.close()
+        self.socket.close()
+
+
+class Sidecar:
+    """`run` of the deploy file, ready."""
+
+    def __init__(self, upstreams: list[Upstream], discovery: Discovery | None = None,
+                 before: str = "", known: list[dict[str, Any]] | None = None, **options: Any) -> None:
+        entries = [upstream.entry() for upstream in upstreams] if known is None else known
+        self.discovery = discovery or Discovery(entries)
+        self.own_discovery = discovery is None
+        self.before = before
+        self.config = {"seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
+                       "settings": settings(**options),
+                       "known": {"seq": 1, "whole": True, "hosts": entries}}
+        self.lines: list[str] = []
+
+    def __enter__(self) -> Self:
+        self.folder = tempfile.TemporaryDirectory()
+        path = Path(self.folder.name) / "config.json"
+        path.write_text(json.dumps(self.config))
+        env = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
+        env |= {"PROXY_NAME": "n0", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(path),
+                "PROXY_DISCOVERY": self.discovery.address}
+        self.process = subprocess.Popen(["/bin/sh", "-c", self.before + DEPLOY["run"]], cwd=ROOT, env=env,
+                                        stderr=subprocess.PIPE, text=True)
+        threading.Thread(target=self.read_log, daemon=True).start()
+        line = eventually(lambda: [line for line in self.lines if " listens on " in line])[0]
+        host, _, port = line.split()[-1].partition(":")
+        self.address = (host, int(port))
+        assert self.request("GET", "/ready").status == 200
+        return self
+
+    def read_log(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.append(line.rstrip())
+
+    def client(self) -> Client:
+        return Client(self.address)
+
+    def request(self, method: str, target: str, body: bytes = b"", **headers: str) -> Message:
+        client = self.client()
+        try:
+            return client.request(method, target, body, **headers)
+        finally:
+            client.close()
+
+    def stop(self) -> int:
+        self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(LONG_S)
+
+    def __exit__(self, *_: object) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait(LONG_S)
+        if self.own_discovery:
+            self.discovery.__exit__()
+        self.folder.cleanup()
+        assert not [line for line in self.lines if "Traceback" in line], "\n".join(self.lines)
--- a/wickspread/interface.py
+++ b/wickspread/interface.py
@@ -119,6 +119,10 @@
     warm_keys: bool = False  # an upstream that has lately served a key serves it with less work
     report_names: list[str] = field(default_factory=list)
     weighted: bool = False  # the list's weights speak of size
+    zones: list[str] = field(default_factory=list)  # names, in the order of their numbers
+    kinds: list[str] = field(default_factory=list)
+    idle_us: int = 0  # an upstream closes a connection that has stood idle for this long; 0 = never
+    probe_timeout_us: int = 250_000
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "at least one request class", self.classes)
@@ -129,7 +133,7 @@
         _require(0 < self.cold_share <= 1, "a cold_share above 0, at most 1", self.cold_share)
         _require(self.overload_factor > 0, "an overload_factor above 0", self.overload_factor)
         for name in ("zone", "tick_us", "max_retry_after_us", "connect_timeout_us", "ask_within_us",
-                     "warm_up_us", "fall_us", "cross_zone_fee"):
+                     "warm_up_us", "fall_us", "cross_zone_fee", "idle_us", "probe_timeout_us"):
             _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
 
 
--- /dev/null
+++ b/wickspread/sidecar/__main__.py
@@ -0,0 +1,65 @@
+"""One real sidecar: start, signals, wiring."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+
+import uvloop
+
+from wickspread import interface as api
+from wickspread.sidecar import config as configuration
+from wickspread.sidecar.discovery import Directory, Discovery, ListError
+from wickspread.sidecar.engine import Clock, Engine
+from wickspread.sidecar.server import Server
+from wickspread.sidecar.upstream import Pool
+
+log = logging.getLogger("wickspread")
+
+OWN_DESCRIPTORS = 48  # standard streams, the loop's, the listener, discovery, and room for what is closing
+LONGEST_STOP_S = 5.0
+
+
+async def serve(config: configuration.Config) -> None:
+    settings, clock = config.settings, Clock()
+    directory = Directory(settings)
+    version, _, known = directory.read(config.known)
+    share = max(1, (config.sockets - OWN_DESCRIPTORS) // 2)
+    pool = Pool(settings.connect_timeout_us / 1e6 or 1.0, settings.idle_us / 1e6, share)
+    discovery = Discovery(config.discovery, directory, version, pushed=not settings.list_on_request)
+    engine = Engine(settings, config.seed, clock, pool, discovery)
+    discovery.sink = engine
+    server = Server(engine, share)
+    engine.list_changed(api.ListKind.CACHED, known, version)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        engine.loop.add_signal_handler(number, stop.set)
+    host, port = server.listen(config.listen)
+    log.info("%s listens on %s:%d", config.name, host, port)
+    await stop.wait()
+    try:
+        await asyncio.wait_for(server.stop(), LONGEST_STOP_S)
+    except TimeoutError:
+        log.warning("%d client connections were still open", len(server.connections))
+    discovery.close()
+    pool.close()
+
+
+def main() -> int:
+    logging.basicConfig(format="wickspread: %(message)s", level=logging.INFO)
+    try:
+        uvloop.run(serve(configuration.load(os.environ)))
+    except (configuration.ConfigError, ListError) as error:
+        print(f"wickspread: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"wickspread: can't listen: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wickspread/sidecar/config.py
@@ -0,0 +1,90 @@
+"""What a sidecar is told at its start: PROXY_* and the JSON of PROXY_CONFIG, as typed values."""
+
+from __future__ import annotations
+
+import json
+import resource
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from wickspread import interface as api
+from wickspread import wire
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text is one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int  # file descriptors that this process may hold
+    settings: api.Settings
+    known: dict[str, Any]  # the list as this sidecar last had it, in discovery's form
+
+
+def parse_address(text: object) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
+        raise ConfigError(f"expected an address HOST:PORT, got {text!r}")
+    return host, int(port)
+
+
+def plain(value: object) -> str:
+    """A plain value as it stands in the simulator's text: without spaces and commas."""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_").replace("\n", "_")
+
+
+def options(value: object, path: str = "") -> Iterator[str]:
+    """The settings' JSON as the path=value lines of the simulator, so that one parser reads both."""
+    if isinstance(value, dict):
+        for name, inner in value.items():
+            yield from options(inner, f"{path}.{name}" if path else name)
+    elif isinstance(value, list) and any(isinstance(inner, dict) for inner in value):
+        yield f"{path}.count={len(value)}"
+        for number, inner in enumerate(value):
+            yield from options(inner, f"{path}.{number}")
+    elif isinstance(value, list):
+        yield f"{path}={','.join(map(plain, value))}"
+    else:
+        yield f"{path}={plain(value)}"
+
+
+def load(env: Mapping[str, str]) -> Config:
+    missing = [name for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG")
+               if not env.get(name)]
+    if missing:
+        raise ConfigError(f"{missing[0]} is not set")
+    path = env["PROXY_CONFIG"]
+    try:
+        with open(path, "rb") as file:
+            told = json.load(file)
+        if not isinstance(told, dict):
+            raise ConfigError("expected a JSON object")
+        limits = told.get("limits", {})
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        known = told.get("known", {"seq": 0, "whole": True, "hosts": []})
+        if not isinstance(known, dict) or not isinstance(told["settings"], dict):
+            raise ConfigError("expected objects in 'known' and 'settings'")
+        return Config(
+            name=env["PROXY_NAME"],
+            listen=parse_address(env["PROXY_LISTEN"]),
+            discovery=parse_address(env["PROXY_DISCOVERY"]),
+            seed=int(str(told["seed"]), 16),
+            sockets=min(int(limits.get("sockets", 1024)), soft),
+            settings=wire.parse_settings("\n".join(options(told["settings"]))),
+            known=known,
+        )
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error} is missing") from error
+    except (OSError, ValueError, TypeError, AttributeError, wire.WireError, ConfigError) as error:
+        text = " ".join(str(error).split())
+        raise ConfigError(text if path in text else f"{path}: {text}") from error
--- /dev/null
+++ b/wickspread/sidecar/engine.py
@@ -0,0 +1,261 @@
+"""The only caller of the decision module: events in, actions out, and the ledger of what is owed.
+
+It holds the clock, the timers and the request numbers, and keeps the contract of interface.py whatever
+the module does: one final answer for each request, one AttemptEnded for each Send.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from wickspread import interface as api
+from wickspread import wire
+from wickspread.balance import Balancer
+from wickspread.sidecar.upstream import Answer, Exchange, Host, Pool
+
+log = logging.getLogger("wickspread")
+
+
+class Clock:
+    """Microseconds that only go forward, counted from Unix time at the start: so the list's born_ms is on
+    it without a second clock, and a step of the wall clock later moves nothing."""
+
+    def __init__(self) -> None:
+        self.base_ns = time.time_ns() - time.monotonic_ns()
+
+    def now_us(self) -> int:
+        return (self.base_ns + time.monotonic_ns()) // 1000
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request as the application sent it."""
+
+    class_index: int
+    due_us: int
+    head: bytes  # request line and the headers that go on to upstreams
+    body: bytes
+    tenant: int = 0
+    key: int = 0
+    cost_us: int = 0
+    retried: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """What is owed for one request."""
+
+    call: Call
+    reply: Callable[[int, bytes, bytes], None]  # where its one answer goes: status, headers, body
+    guard: asyncio.TimerHandle | None = None
+    answered: bool = False
+    attempts: list[Exchange | None] = field(default_factory=list)  # None = never started, or ended
+    out: int = 0
+
+
+class Discovery(Protocol):
+    def subscribe(self, active: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+
+class Engine:
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, pool: Pool,
+                 discovery: Discovery) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.pool = pool
+        self.discovery = discovery
+        self.loop = asyncio.get_running_loop()
+        self.balancer = Balancer(settings, seed, clock.now_us())
+        self.requests: dict[int, Entry] = {}
+        self.next_request = 1
+        self.events: deque[api.Event] = deque()
+        self.handling = False
+
+    # From the application
+
+    def accept(self, call: Call, reply: Callable[[int, bytes, bytes], None]) -> int:
+        """Take a request. Its answer may come before this returns."""
+        ident, self.next_request = self.next_request, self.next_request % 0xFFFFFFFF + 1
+        entry = self.requests[ident] = Entry(call, reply)
+        # hazard: whatever the decisions do, the client is answered inside its time
+        entry.guard = self.later(call.due_us, self.overdue, ident)
+        self.tell(api.RequestArrived(ident, call.due_us, call.class_index, call.tenant, call.key,
+                                     call.cost_us, call.retried))
+        return ident
+
+    def gone(self, ident: int) -> None:
+        """The client has closed its connection."""
+        entry = self.requests.get(ident)
+        if entry is not None and not entry.answered:
+            self.settle(ident, entry)
+            self.tell(api.RequestGone(ident))
+
+    def overdue(self, ident: int) -> None:
+        entry = self.requests.get(ident)
+        if entry is not None and not entry.answered:
+            self.answer(ident, 504)
+            self.tell(api.RequestGone(ident))
+
+    # From discovery
+
+    def list_changed(self, kind: api.ListKind, hosts: list[Host], version: int) -> None:
+        self.pool.update(hosts, whole=kind is not api.ListKind.DELTA)
+        self.tell(api.UpstreamsUpdated(kind, [host.entry for host in hosts], version))
+
+    def list_failed(self) -> None:
+        self.tell(api.UpstreamsUpdated(api.ListKind.FAILED))
+
+    # Events and actions
+
+    def tell(self, event: api.Event) -> None:
+        """Hand an event to the decisions. What their actions cause at once waits its turn in the queue:
+        the module is never entered again from inside."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                self.handle(self.events.popleft())
+        finally:
+            self.handling = False
+
+    def handle(self, event: api.Event) -> None:
+        try:
+            actions = self.balancer.handle(self.clock.now_us(), event)
+        except Exception:
+            # hazard: a fault in the decisions costs the request that it met, never the sidecar
+            log.exception("the decisions failed on %s", type(event).__name__)
+            if isinstance(event, api.RequestArrived | api.AttemptEnded | api.StreamStarted):
+                self.abort(event.request)
+            return
+        for action in actions:
+            try:
+                self.perform(action)
+            except Exception:
+                log.exception("the action %s failed", type(action).__name__)
+                if isinstance(action, api.Send | api.Refuse | api.Fail):
+                    self.abort(action.request)
+
+    def abort(self, ident: int) -> None:
+        entry = self.requests.get(ident)
+        if entry is not None and not entry.answered:
+            self.answer(ident, 502)
+            self.events.append(api.RequestGone(ident))
+
+    def perform(self, action: api.Action) -> None:
+        wire.check_allowed(self.settings, action)
+        match action:
+            case api.Send():
+                self.send(action)
+            case api.Refuse():
+                after = action.retry_after_us
+                head = b"Retry-After: %d.%06d\r\n" % divmod(after, 1_000_000) if after > 0 else b""
+                self.answer(action.request, 503, head)
+            case api.Fail():
+                self.answer(action.request, 502)
+            case api.Cancel():
+                entry = self.requests.get(action.request)
+                attempt = entry.attempts[action.attempt] if entry is not None else None
+                if attempt is not None:
+                    attempt.finish(api.Outcome.CANCELLED)
+            case api.Probe():
+                self.probe(action.upstream)
+            case api.SetTimer():
+                self.later(action.at_us, self.tell, api.TimerFired(action.token))
+            case api.Subscribe():
+                self.discovery.subscribe(action.active)
+            case api.FetchList():
+                self.discovery.fetch()
+            case api.CloseIdle():
+                self.pool.close_idle(action.upstream)
+            case api.Log():
+                log.info("%s", action.text)
+            case api.TellPeer():
+                raise ValueError("messages to other sidecars are not carried")
+
+    def later(self, at_us: int, call: Callable[..., None], argument: object) -> asyncio.TimerHandle:
+        """Call at or after a time of our clock. Hazard: the loop's timers come up to 1 ms early, and an
+        event told too early would be passed over."""
+        wait_us = max(0, at_us - self.clock.now_us())
+        return self.loop.call_later(wait_us / 1e6 + 0.001, call, argument)
+
+    # Attempts
+
+    def send(self, action: api.Send) -> None:
+        ident, now_us = action.request, self.clock.now_us()
+        entry = self.requests.get(ident)
+        if entry is None:  # the module never names a request that it was not given
+            self.tell(api.AttemptEnded(ident, 0, action.upstream, api.Outcome.NOT_SENT, 0, True))
+            return
+        attempt, call = len(entry.attempts), entry.call
+        entry.attempts.append(None)
+        entry.out += 1
+
+        def render() -> bytes | None:
+            """Just before the first byte: by then the request may be over, or its time."""
+            left_us = call.due_us - self.clock.now_us()
+            if entry.answered or left_us <= 0:
+                return None
+            return b"%sReq-Deadline: %d.%06d\r\n\r\n%s" % (call.head, *divmod(left_us, 1_000_000), call.body)
+
+        def ended(outcome: api.Outcome, answer: Answer | None) -> None:
+            entry.attempts[attempt] = None
+            entry.out -= 1
+            if outcome is api.Outcome.OK and answer is not None:
+                self.answer(ident, 200, answer.head, answer.body)
+            if entry.answered and entry.out == 0:
+                self.requests.pop(ident, None)
+            report = self.report(answer.load) if answer is not None and answer.load else []
+            self.tell(api.AttemptEnded(ident, attempt, action.upstream, outcome,
+                                       self.clock.now_us() - now_us, entry.answered, report))
+
+        most_us = call.due_us - now_us
+        timeout_us = min(action.timeout_us or most_us, most_us)
+        if entry.answered or timeout_us <= 0 or attempt >= self.settings.max_attempts or (
+                entry.out > 1 and not self.settings.second_copies):
+            ended(api.Outcome.NOT_SENT, None)
+            return
+        exchange = Exchange(render, ended)
+        entry.attempts[attempt] = exchange
+        self.pool.start(action.upstream, exchange, timeout_us / 1e6)
+
+    def probe(self, upstream: int) -> None:
+        now_us = self.clock.now_us()
+
+        def ended(outcome: api.Outcome, answer: Answer | None) -> None:
+            if answer is not None and answer.status == 200:
+                outcome = api.Outcome.OK
+            load = answer.body if answer is not None and outcome is api.Outcome.OK else b""
+            self.tell(api.ProbeEnded(upstream, outcome, self.clock.now_us() - now_us, self.report(load)))
+
+        path = b"/status/load" if self.settings.report_names else b"/health"
+        head = b"GET %s HTTP/1.1\r\nHost: backend.local\r\n\r\n" % path
+        self.pool.start(upstream, Exchange(lambda: head, ended), self.settings.probe_timeout_us / 1e6)
+
+    def report(self, text: bytes) -> list[float]:
+        return wire.parse_report(text, self.settings.report_names)
+
+    # Answers
+
+    def answer(self, ident: int, status: int, head: bytes = b"", body: bytes = b"") -> None:
+        """The one place of final answers: the first stands, a later one is dropped."""
+        entry = self.requests.get(ident)
+        if entry is not None and not entry.answered:
+            self.settle(ident, entry)
+            entry.reply(status, head, body)
+
+    def settle(self, ident: int, entry: Entry) -> None:
+        entry.answered = True
+        if entry.guard is not None:
+            entry.guard.cancel()
+        if entry.out == 0:
+            del self.requests[ident]
--- /dev/null
+++ b/wickspread/sidecar/upstream.py
@@ -0,0 +1,355 @@
+"""Connections to upstreams: a pool of them, and the attempts and probes that they carry."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import select
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from typing import cast
+
+import httptools
+
+from wickspread import interface as api
+from wickspread.sidecar.config import Address
+
+log = logging.getLogger("wickspread")
+
+MAX_BODY = 64 * 1024
+MAX_HEAD = 16 * 1024
+SWEEP_S = 0.25
+# Ours, not the upstream's: too many descriptors, no memory, no free port.
+LOCAL_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
+# Headers that speak of one connection only, or that we set ourselves, and so go no further.
+HOP_HEADERS = {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer",
+               b"transfer-encoding", b"upgrade", b"expect", b"content-length"}
+
+
+def end_to_end(headers: list[tuple[bytes, bytes]], drop: frozenset[bytes] = frozenset()) -> bytes:
+    """The header lines that go on to the next hop."""
+    named = {part.strip().lower() for name, value in headers if name.lower() == b"connection"
+             for part in value.split(b",")}
+    return b"".join(b"%s: %s\r\n" % (name, value) for name, value in headers
+                    if (low := name.lower()) not in HOP_HEADERS and low not in drop and low not in named)
+
+
+@dataclass(slots=True)
+class Answer:
+    status: int
+    head: bytes  # the header lines that go on to the client
+    body: bytes
+    load: bytes  # its Srv-Load, if any
+
+
+class Exchange:
+    """One request to an upstream and its one end: an attempt or a probe."""
+
+    __slots__ = ("render", "ended", "timer", "connection", "done")
+
+    def __init__(self, render: Callable[[], bytes | None],
+                 ended: Callable[[api.Outcome, Answer | None], None]) -> None:
+        self.render = render  # the bytes, asked for when they are to be written; None = no longer wanted
+        self.ended = ended
+        self.timer: asyncio.TimerHandle | None = None
+        self.connection: Connection | None = None
+        self.done = False
+
+    def finish(self, outcome: api.Outcome, answer: Answer | None = None) -> None:
+        if self.done:
+            return
+        self.done = True
+        if self.timer is not None:
+            self.timer.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.release()
+        self.ended(outcome, answer)
+
+    def expire(self) -> None:
+        """We stop waiting. What was not written whole has never run."""
+        connection = self.connection
+        if connection is None or not connection.written:
+            self.finish(api.Outcome.CONNECT_FAILED)
+            return
+        host = connection.host
+        if host.heard < connection.began:
+            # hazard: a machine that vanished leaves its connections open and silent; an unsafe request on
+            # one is lost, while a new connection fails before anything can run
+            host.close_idle()
+        self.finish(api.Outcome.TIMEOUT)
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    """One upstream: its entry of the list, where it listens, its connections."""
+
+    entry: api.Upstream
+    dial: Address
+    idle: list[Connection] = field(default_factory=list)  # the last one was used most recently
+    heard: float = 0.0  # loop time of the last byte from it
+    generation: int = 0  # counts its restarts
+
+    def wanted(self) -> bool:
+        return self.entry.state is api.UpstreamState.READY
+
+    def close_idle(self) -> None:
+        for connection in self.idle[:]:
+            connection.close()
+
+
+class Connection(asyncio.Protocol):
+    """A connection carries one exchange at a time and is pooled in between."""
+
+    def __init__(self, pool: Pool, host: Host) -> None:
+        self.pool = pool
+        self.host = host
+        self.generation = host.generation
+        self.loop = pool.loop
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Exchange | None = None
+        self.written = False  # the kernel has the whole request
+        self.began = self.idle_since = 0.0
+        self.complete = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
+        # hazard: by default a request may sit in the loop's own buffer; with no buffer allowed, write()
+        # hands it to the kernel at once, and resume_writing() tells when a rest of it has followed
+        self.transport.set_write_buffer_limits(high=0)
+        self.poll = select.poll()
+        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+
+    def usable(self) -> bool:
+        """Hazard: an upstream's close may be waiting unread; a request written after it is a reset."""
+        now = self.loop.time()
+        return (self.transport is not None and not self.transport.is_closing()
+                and now - self.idle_since < self.pool.idle_s and not self.poll.poll(0))
+
+    def begin(self, exchange: Exchange) -> None:
+        data = exchange.render() if self.host.wanted() else None
+        if data is None:
+            self.park()
+            exchange.finish(api.Outcome.NOT_SENT)
+            return
+        assert self.transport is not None
+        self.exchange, exchange.connection = exchange, self
+        self.parser = httptools.HttpResponseParser(self)
+        self.status_begun = self.complete = False
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+        self.head_size = 0
+        self.began = self.loop.time()
+        self.written = False
+        self.transport.write(data)
+        self.written = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
+
+    def resume_writing(self) -> None:
+        self.written = self.transport is not None and not self.transport.is_closing()
+
+    def data_received(self, data: bytes) -> None:
+        self.host.heard = self.loop.time()
+        if self.exchange is None:  # nothing was asked: out of step
+            self.close()
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.fail("an upgrade that nobody asked for")
+        except httptools.HttpParserError as error:
+            self.fail(str(error))
+        else:
+            if self.complete:
+                self.finish()
+            elif self.head_size > MAX_HEAD or len(self.body) > MAX_BODY:
+                self.fail("too large")
+
+    def fail(self, why: str) -> None:
+        """Hazard: an answer that is not whole and well formed is never passed on as served."""
+        self.pool.complain(f"upstream {self.host.dial[0]}:{self.host.dial[1]}: bad answer: {why}")
+        if self.exchange is not None:
+            self.exchange.finish(api.Outcome.ERROR)
+
+    def on_message_begin(self) -> None:
+        if self.complete:  # a second answer to one request: the connection is out of step
+            self.status_begun = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.complete:
+            self.headers.append((name, value))
+            self.head_size += len(name) + len(value) + 4
+
+    def on_body(self, body: bytes) -> None:
+        if not self.complete and len(self.body) <= MAX_BODY:
+            self.body += body
+
+    def on_message_complete(self) -> None:
+        if self.complete:
+            return
+        if 100 <= self.parser.get_status_code() < 200:
+            self.headers.clear()
+            return
+        self.complete = True
+        self.status = self.parser.get_status_code()
+        self.keep = self.parser.should_keep_alive()
+
+    def finish(self) -> None:
+        exchange = self.exchange
+        assert exchange is not None
+        if len(self.body) > MAX_BODY or self.head_size > MAX_HEAD:
+            self.fail("too large")
+            return
+        found = {name.lower(): value for name, value in self.headers}
+        answer = Answer(self.status, end_to_end(self.headers, frozenset({b"srv-load"})), bytes(self.body),
+                        found.get(b"srv-load", b""))
+        if answer.status == 200:
+            outcome = api.Outcome.OK
+        elif answer.status in (503, 504) and found.get(b"srv-declined") == b"1":
+            outcome = api.Outcome.FULL
+        else:
+            outcome = api.Outcome.ERROR  # hazard: a bare 503 does not say that nothing ran
+        if self.keep and self.written and not self.status_begun:
+            self.exchange = exchange.connection = None
+            self.park()
+        exchange.finish(outcome, answer)
+
+    def park(self) -> None:
+        """Back to the pool, unless the upstream has restarted, left or is not to be used any more."""
+        host = self.host
+        if self.generation != host.generation or not host.wanted():
+            self.close()
+            return
+        self.idle_since = self.loop.time()
+        host.idle.append(self)
+
+    def release(self) -> None:
+        """The exchange ends before its answer is whole: closing gives the attempt up."""
+        self.exchange = None
+        self.close()
+
+    def close(self) -> None:
+        if self in self.host.idle:
+            self.host.idle.remove(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.pool.open -= 1
+        if self in self.host.idle:
+            self.host.idle.remove(self)
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.connection = None
+            exchange.finish(api.Outcome.RESET if self.written else api.Outcome.CONNECT_FAILED)
+
+
+class Pool:
+    """The connections to all upstreams, within a budget of descriptors."""
+
+    def __init__(self, connect_s: float, idle_s: float, most: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.connect_s = connect_s
+        # hazard: a request written to a connection that the upstream is closing is a reset
+        self.idle_s = max(idle_s / 2, idle_s - 0.5) if idle_s > 0 else float("inf")
+        self.most = most
+        self.open = 0  # connections, those being made among them
+        self.hosts: dict[int, Host] = {}
+        self.dials: set[asyncio.Task[None]] = set()
+        self.next_complaint = 0.0
+        self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
+
+    def update(self, hosts: list[Host], whole: bool) -> None:
+        if whole:
+            listed = {host.entry.id for host in hosts}
+            for ident, host in self.hosts.items():
+                if ident not in listed:
+                    host.entry = replace(host.entry, state=api.UpstreamState.GONE)
+                    host.close_idle()
+        for new in hosts:
+            old = self.hosts.setdefault(new.entry.id, new)
+            if (old.dial, old.entry.started_us) != (new.dial, new.entry.started_us):
+                # hazard: connections to the process before are dead, though they look open
+                old.generation += 1
+                old.close_idle()
+            old.entry, old.dial = new.entry, new.dial
+            if not old.wanted():
+                old.close_idle()
+
+    def start(self, upstream: int, exchange: Exchange, timeout_s: float) -> None:
+        host = self.hosts.get(upstream)
+        if host is None or not host.wanted():
+            exchange.finish(api.Outcome.NOT_SENT)
+            return
+        exchange.timer = self.loop.call_later(timeout_s, exchange.expire)
+        while host.idle:
+            connection = host.idle[-1]
+            if connection.usable():
+                host.idle.pop()
+                connection.begin(exchange)
+                return
+            connection.close()
+        if self.open >= self.most and not self.evict():
+            exchange.finish(api.Outcome.NOT_SENT)
+            return
+        self.open += 1
+        task = self.loop.create_task(self.dial(host, exchange))
+        self.dials.add(task)
+        task.add_done_callback(self.dials.discard)
+
+    async def dial(self, host: Host, exchange: Exchange) -> None:
+        connection = Connection(self, host)
+        try:
+            async with asyncio.timeout(self.connect_s):
+                await self.loop.create_connection(lambda: connection, *host.dial)
+        except (OSError, TimeoutError) as error:
+            if connection.transport is None:
+                self.open -= 1
+            else:
+                connection.close()
+            ours = isinstance(error, OSError) and error.errno in LOCAL_ERRORS
+            if ours:
+                self.complain(f"no connection could be opened: {error}")
+            exchange.finish(api.Outcome.NOT_SENT if ours else api.Outcome.CONNECT_FAILED)
+            return
+        if connection.transport is None or connection.transport.is_closing():
+            exchange.finish(api.Outcome.CONNECT_FAILED)
+        elif exchange.done:  # given up meanwhile: the connection is paid for and serves the next one
+            connection.park()
+        elif connection.generation != host.generation:
+            connection.close()
+            exchange.finish(api.Outcome.CONNECT_FAILED)
+        else:
+            connection.begin(exchange)
+
+    def evict(self) -> bool:
+        """At the limit the connection that has been idle for longest makes room."""
+        idle = [host.idle[0] for host in self.hosts.values() if host.idle]
+        if not idle:
+            return False
+        min(idle, key=lambda connection: connection.idle_since).close()
+        return True
+
+    def close_idle(self, upstream: int) -> None:
+        if upstream in self.hosts:
+            self.hosts[upstream].close_idle()
+
+    def sweep(self) -> None:
+        oldest = self.loop.time() - self.idle_s
+        for host in self.hosts.values():
+            while host.idle and host.idle[0].idle_since <= oldest:
+                host.idle[0].close()
+        self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
+
+    def complain(self, text: str) -> None:
+        """Never a log line for each request."""
+        if self.loop.time() >= self.next_complaint:
+            self.next_complaint = self.loop.time() + 1.0
+            log.warning("%s", text)
+
+    def close(self) -> None:
+        self.sweep_timer.cancel()
+        for task in self.dials:
+            task.cancel()
+        for host in self.hosts.values():
+            host.close_idle()
--- a/wickspread/wire.py
+++ b/wickspread/wire.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import struct
 from collections.abc import Callable, Iterator
@@ -37,6 +38,9 @@
 # Load report values: the wire's names and ours; a name not known here is kept as it is.
 _REPORT_NAMES = {"rif": "in_flight", "q": "queued", "busy": "utilization", "lat_ms": "latency_ms",
                  "rate": "served_per_s", "fail_rate": "errors_per_s"}
+# The same values as an upstream's JSON names them.
+_REPORT_FIELDS = {"inflight": "in_flight", "queue": "queued", "util": "utilization", "qps": "served_per_s",
+                  "eps": "errors_per_s"} | _REPORT_NAMES
 _U32_MAX = 0xFFFFFFFF
 V = TypeVar("V")
 
@@ -232,6 +236,17 @@
         raise ValueError(f"{type(action).__name__} where the settings forbid it")
 
 
+def parse_report(text: bytes, names: list[str]) -> list[float]:
+    """A load report's values in the order of `names`; none if it is not whole and finite."""
+    try:
+        told = json.loads(text) if text else {}
+        values = {_REPORT_FIELDS.get(name, name): float(value) for name, value in told.items()}
+    except (ValueError, TypeError, AttributeError):
+        return []
+    report = [values.get(name, math.nan) for name in names]
+    return report if all(map(math.isfinite, report)) else []
+
+
 def encode(instance: int, action: Reply) -> bytes:
     """One action record."""
     return _WRITERS[type(action)](instance, action)
@@ -262,6 +277,9 @@
             raise WireError(f"setting {path} is missing")
         return value
 
+    def names(self, path: str) -> list[str]:
+        return [name for name in self.text(path, "").split(",") if name]
+
     def number(self, path: str, default: str | None = None) -> float:
         value = self.text(path, default)
         try:
@@ -337,9 +355,12 @@
             fall_us=o.whole("invariants.fall"),
             cross_zone_fee=o.number("fees.cross-zone", "0"),
             warm_keys=o.flag("specifics.warm-keys", "false"),
-            report_names=[_REPORT_NAMES.get(name, name)
-                          for name in o.text("report.names", "").split(",") if name],
+            report_names=[_REPORT_NAMES.get(name, name) for name in o.names("report.names")],
             weighted=o.text("weights", "none") in ("nominal", "rough"),
+            zones=o.names("areas"),
+            kinds=o.names("kinds"),
+            idle_us=o.whole("bounds.conn-idle", "0"),
+            probe_timeout_us=o.whole("bounds.probe-timeout", "250000"),
         )
     except ValueError as error:
         raise WireError(f"settings: {error}") from error
