Tests over loopback sockets for the sidecar's hazards; a planned stop keeps pipelined requests

To blame: Pending.reply, which decided to close before the order was known; ClientConnection.flush now decides, for the last one only. stop() waited on every open connection, half-sent ones too, and was cut off after 5 s; it now waits for what was taken, each of which has its guard, and then at most 1 s for answers to be read.

Ruled out as faults of the sidecar: a refusal with no time left (nothing had run, so it is legal), and a stand-in whose closed port still accepted.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
@@ -97,15 +98,15 @@
     def hang_up(self) -> None:
         """End the connections that are open now."""
         for client in self.open[:]:
-            try:
+            with contextlib.suppress(OSError):
                 client.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                continue
 
     def __enter__(self) -> Self:
         return self
 
     def __exit__(self, *_: object) -> None:
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)  # a thread in accept() would keep the port open
         self.socket.close()
         self.hang_up()
 
@@ -180,7 +181,10 @@
 def settings(**changes: Any) -> dict[str, Any]:
     """The settings of tests/options.py as the JSON of a configuration."""
     pairs = dict(line.split("=", 1) for line in OPTIONS.splitlines())
-    pairs |= {"granularity": "1000", "accounts.count": "0", "areas": "a,b"} | changes
+    pairs |= {"granularity": "1000", "accounts.count": "0", "areas": "a,b"}
+    for name, value in changes.items():
+        name = name.replace("_", "-")
+        pairs[f"bounds.{name}" if f"bounds.{name}" in pairs else name] = value
     told: dict[str, Any] = {}
     for path, value in pairs.items():
         if path.endswith(".count"):
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,163 @@
+"""Attempts on real sockets: what each end means for the effect, and which connection is used."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import pytest
+
+from tests.sockets import LONG_S, Message, Script, Sidecar, Upstream, answer, eventually
+from wickspread import interface as api
+from wickspread.sidecar.upstream import Exchange, Host, Pool
+
+
+def then_close(data: bytes) -> Script:
+    def script(request: Message, client: socket.socket) -> None:
+        client.sendall(data)
+
+    return script
+
+
+def reset(request: Message, client: socket.socket) -> None:
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+BIG = answer(b"x" * (64 * 1024 + 1))
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize("script", [
+    lambda request, client: answer(b"", "500 Internal Server Error"),
+    lambda request, client: answer(b"", "503 Service Unavailable"),
+    lambda request, client: answer(b"", "503 Service Unavailable", "Srv-Declined: 0\r\n"),
+    lambda request, client: answer(b"", "500 Internal Server Error", "Srv-Declined: 1\r\n"),
+    lambda request, client: answer(b"", "204 No Content"),
+    reset,
+    lambda request, client: None,
+    then_close(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
+    then_close(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nno length, so whole or not"),
+    then_close(CHUNKED + b"4\r\nhalf\r\n"),
+    lambda request, client: CHUNKED + b"zz\r\nhalf\r\n0\r\n\r\n",
+    lambda request, client: CHUNKED.replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\n") + b"0\r\n\r\n",
+    lambda request, client: b"garbage\r\n\r\n",
+    lambda request, client: BIG,
+    lambda request, client: CHUNKED + b"20000\r\n" + b"x" * 0x20000 + b"\r\n0\r\n\r\n",
+    lambda request, client: answer(b"", headers="X: " + "x" * 100_000 + "\r\n"),
+], ids=["500", "bare 503", "not declined", "declined 500", "204", "reset", "end", "truncated", "no length",
+        "truncated chunks", "bad chunks", "two framings", "garbage", "too large", "chunks too large",
+        "headers too large"])
+def test_an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again(script: Script) -> None:
+    with Upstream(script=script) as one, Upstream(script=script) as two, Sidecar([one, two]) as sidecar:
+        assert sidecar.request("POST", "/pay/7", b"x").status == 502
+        assert len(one.requests) + len(two.requests) == 1
+        assert sidecar.request("GET", "/nowhere").status == 404
+
+
+@pytest.mark.parametrize("status", ["503 Service Unavailable", "504 Gateway Timeout"])
+def test_a_declined_unsafe_request_is_sent_elsewhere(status: str) -> None:
+    declined = answer(b"", status, "Srv-Declined: 1\r\n")
+    with (Upstream(script=lambda request, client: declined) as full, Upstream(body=b"ok") as free,
+          Sidecar([full, free]) as sidecar):
+        for _ in range(8):
+            assert sidecar.request("POST", "/pay/7", b"x").status == 200
+        assert full.requests and len(free.requests) == 8
+
+
+def test_a_refused_connection_is_no_attempt_and_another_upstream_is_taken() -> None:
+    with Upstream() as dead, Upstream(body=b"ok") as alive:
+        dead.__exit__()
+        with Sidecar([dead, alive]) as sidecar:
+            for _ in range(8):
+                assert sidecar.request("POST", "/pay/7", b"x").status == 200
+        assert len(alive.requests) == 8
+
+
+def test_a_keyed_request_that_may_have_run_stays_in_its_cell() -> None:
+    def entry(upstream: Upstream, block: int) -> dict[str, object]:
+        return upstream.entry(block=block)
+
+    with Upstream(script=reset) as one, Upstream(script=reset) as two, Upstream(body=b"ok") as other:
+        known = [entry(one, 1), entry(two, 1), entry(other, 2)]
+        with Sidecar([one, two, other], known=known) as sidecar:
+            for number in range(12):
+                key = f"k{number}"
+                sidecar.request("POST", "/mark/7", b"x", Idempotency_Key=key, Req_Deadline="1.0")
+                cells = [{r.headers["idempotency-key"] for r in u.requests} for u in (one, two, other)]
+                assert not (cells[0] | cells[1]) & cells[2]
+
+
+def test_requests_in_turn_share_one_connection() -> None:
+    """A new connection costs the upstream work, and the first request on it time."""
+    with Upstream() as upstream, Sidecar([upstream]) as sidecar:
+        client = sidecar.client()
+        for _ in range(5):
+            assert client.request("POST", "/pay/7", b"x").status == 200
+        client.close()
+        assert upstream.accepted == 1
+
+
+@pytest.mark.parametrize("end", ["quietly", "in one go with the answer"])
+def test_a_connection_that_the_upstream_has_closed_is_not_used(end: str) -> None:
+    """An unsafe request written to a closed connection is lost: its reset says that it may have run."""
+    with Upstream() as upstream, Sidecar([upstream]) as sidecar:
+        if end != "quietly":
+            upstream.script = then_close(answer(b"ok"))
+        for number in range(5):
+            assert sidecar.request("POST", "/pay/7", b"x").status == 200
+            if end == "quietly":
+                upstream.hang_up()
+            assert upstream.accepted == number + 1
+
+
+def test_idle_connections_retire_before_the_upstream_closes_them() -> None:
+    with Upstream() as upstream, Sidecar([upstream], conn_idle="600000") as sidecar:
+        assert sidecar.request("POST", "/pay/7", b"x").status == 200
+        first = upstream.open[0]
+        eventually(lambda: first.fileno() == -1)  # the sidecar has ended it: the stand-in never does
+        assert sidecar.request("POST", "/pay/7", b"x").status == 200
+
+
+@pytest.mark.parametrize("changes", [{"born_ms": 1_000}, {"health": "terminating"}])
+def test_idle_connections_end_when_the_upstream_restarts_or_drains(changes: dict[str, object]) -> None:
+    with Upstream() as upstream, Sidecar([upstream]) as sidecar:
+        assert sidecar.request("POST", "/pay/7", b"x").status == 200
+        first = upstream.open[0]
+        sidecar.discovery.tell(upstream.entry(**changes))
+        eventually(lambda: first.fileno() == -1)
+
+
+def test_silence_ends_the_idle_connections_to_that_upstream() -> None:
+    """A vanished machine leaves its connections open: the next unsafe request on one would be lost too."""
+    async def test() -> None:
+        served = 0
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal served
+            with contextlib.suppress(asyncio.IncompleteReadError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    served += 1
+                    if served <= 2:  # the machine vanishes after two answers
+                        writer.write(answer(b"ok"))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        pool = Pool(connect_s=5.0, idle_s=60.0, most=8)
+        host = Host(api.Upstream(7), server.sockets[0].getsockname())
+        pool.update([host], whole=True)
+
+        def start(timeout_s: float) -> asyncio.Future[api.Outcome]:
+            ended: asyncio.Future[api.Outcome] = pool.loop.create_future()
+            pool.start(7, Exchange(lambda: b"GET / HTTP/1.1\r\n\r\n", lambda end, _: ended.set_result(end)),
+                       timeout_s)
+            return ended
+
+        assert list(await asyncio.gather(start(15.0), start(15.0))) == [api.Outcome.OK] * 2
+        assert len(host.idle) == 2
+        assert await start(0.1) is api.Outcome.TIMEOUT
+        assert not host.idle
+        server.close()
+
+    asyncio.run(asyncio.wait_for(test(), LONG_S))
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -20,7 +20,6 @@
 log = logging.getLogger("wickspread")
 
 OWN_DESCRIPTORS = 48  # standard streams, the loop's, the listener, discovery, and room for what is closing
-LONGEST_STOP_S = 5.0
 
 
 async def serve(config: configuration.Config) -> None:
@@ -40,10 +39,7 @@
     host, port = server.listen(config.listen)
     log.info("%s listens on %s:%d", config.name, host, port)
     await stop.wait()
-    try:
-        await asyncio.wait_for(server.stop(), LONGEST_STOP_S)
-    except TimeoutError:
-        log.warning("%d client connections were still open", len(server.connections))
+    await server.stop()
     discovery.close()
     pool.close()
 
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -111,17 +111,13 @@
     def __init__(self, connection: ClientConnection, keep: bool) -> None:
         self.connection = connection
         self.keep = keep
-        self.answer: bytes | None = None
+        self.answer: tuple[int, bytes, bytes] | None = None
         self.request = 0  # its number in the engine
 
     def reply(self, status: int, head: bytes = b"", body: bytes = b"") -> None:
-        if self.answer is not None:
-            return
-        self.keep = self.keep and not self.connection.server.stopping
-        close = b"" if self.keep else b"Connection: close\r\n"
-        self.answer = b"HTTP/1.1 %d %s\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
-            status, REASONS.get(status, b""), head, close, len(body), body)
-        self.connection.flush()
+        if self.answer is None:
+            self.answer = status, head, body
+            self.connection.flush()
 
 
 class ClientConnection(asyncio.Protocol):
@@ -132,7 +128,8 @@
         self.pending: deque[Pending] = deque()  # answered in the order that they came
         self.reading = False  # a request has begun and is not whole
         self.in_head = True
-        self.deaf = False  # nothing further is read
+        self.deaf = False  # what still comes is dropped
+        self.paused = False
         self.unparsed = 0
 
     # The transport
@@ -144,11 +141,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.server.lost(self)
         self.deaf = True
-        pending, self.pending = list(self.pending), deque()
-        for one in pending:
-            if one.answer is None:
-                one.answer = b""
-                self.server.engine.gone(one.request)
+        self.forget()
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
@@ -158,7 +151,9 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            pass  # upgrades are not for us: what follows is not read
+            self.deaf = True  # upgrades are not for us: what follows is no request
+            for one in self.pending:
+                one.keep = False
         except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, Rejected):
@@ -215,7 +210,8 @@
             return
         one = Pending(self, self.parser.should_keep_alive())
         self.pending.append(one)
-        if len(self.pending) >= MOST_PIPELINED and self.transport is not None:
+        if len(self.pending) >= MOST_PIPELINED and not self.paused and self.transport is not None:
+            self.paused = True
             self.transport.pause_reading()
         try:
             self.server.take(one, self.parser.get_method(), self.target, self.headers, bytes(self.body))
@@ -237,27 +233,41 @@
 
     def flush(self) -> None:
         transport = self.transport
-        while self.pending and self.pending[0].answer is not None and transport is not None:
-            one = self.pending.popleft()
-            transport.write(one.answer or b"")
-            if not one.keep:
+        while self.pending and (answer := self.pending[0].answer) is not None and transport is not None:
+            one, (status, head, body) = self.pending.popleft(), answer
+            # hazard: while stopping, requests behind this one have been taken as well
+            keep = one.keep and (not self.server.stopping or bool(self.pending))
+            close = b"" if keep else b"Connection: close\r\n"
+            transport.write(b"HTTP/1.1 %d %s\r\n%s%sContent-Length: %d\r\n\r\n%s" % (
+                status, REASONS.get(status, b""), head, close, len(body), body))
+            if not keep:
                 self.end(transport)
-                return
-        if transport is not None and not self.pending and not self.reading and not self.deaf:
-            transport.resume_reading()
-            self.server.idle[self] = None
+        if not self.pending:
+            self.server.changed.set()
+            self.hear()
+            if not self.reading and not self.deaf:
+                self.server.idle[self] = None
+
+    def hear(self) -> None:
+        if self.paused and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
+
+    def forget(self) -> None:
+        """Nobody waits for what is pending here any more."""
+        pending, self.pending = self.pending, deque()
+        for one in pending:
+            if one.answer is None:
+                one.answer = 0, b"", b""
+                self.server.engine.gone(one.request)
 
     def end(self, transport: asyncio.Transport) -> None:
         """Close after the answer. Hazard: closing on top of unread input resets the connection, and the
         client may lose the answer; so what still comes is read and dropped for a while."""
-        lost, self.pending = self.pending, deque()
-        for one in lost:
-            if one.answer is None:
-                one.answer = b""
-                self.server.engine.gone(one.request)
+        self.forget()
         if self.deaf or self.reading:
             self.deaf = True
-            transport.resume_reading()
+            self.hear()
             transport.write_eof()
             self.server.engine.loop.call_later(LINGER_S, transport.abort)
         else:
@@ -309,6 +319,7 @@
                     self.pause()  # until a connection is lost
                     return
                 oldest = next(iter(self.idle))
+                self.connections.discard(oldest)
                 self.drop(oldest)
             try:
                 client, _ = self.listener.accept()
@@ -335,7 +346,6 @@
 
     def drop(self, connection: ClientConnection) -> None:
         self.idle.pop(connection, None)
-        self.connections.discard(connection)
         connection.deaf = True
         if connection.transport is not None:
             connection.transport.close()
@@ -365,10 +375,13 @@
         if listener is not None:
             listener.close()
         await asyncio.sleep(LAST_IDLE_S)
-        for connection in list(self.idle):
+        for connection in [one for one in self.connections if not one.pending]:
             self.drop(connection)
-        while self.connections:
+        while any(connection.pending for connection in self.connections):
             self.changed.clear()
             await self.changed.wait()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.sleep(0)
+        with contextlib.suppress(TimeoutError):  # a client that does not read its answer holds nobody up
+            async with asyncio.timeout(LINGER_S):
+                while self.connections:
+                    self.changed.clear()
+                    await self.changed.wait()
