At the limit of client connections, make room only for one that waits

Seen by a test at 96 descriptors: of 24 clients in the midst of a request the first was reset. Ruled out: EMFILE (24 open of 96) and the closed ready-check connection, which is the oldest idle one and goes first. To blame: Server.accept, which closed the oldest idle connection before it knew that another one waited; at the limit each wake-up cost one. It now accepts first. Also found by reading: a paused listener was woken by lost connections only, so kept ones could shut new ones out; ClientConnection.flush now wakes it too (Server.rests).

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -204,6 +204,25 @@
         assert set(statuses) == {200} and len(upstream.requests) == 150
 
 
+def test_kept_connections_do_not_shut_new_ones_out_at_the_limit() -> None:
+    """All that may be open are in the midst of a request, and one more waits: when one of them has been
+    answered and rests, it makes room."""
+    with Upstream(body=b"ok") as upstream, Sidecar([upstream], before="ulimit -n 96; ") as sidecar:
+        half = [sidecar.client() for _ in range((96 - 48) // 2)]
+        for client in half:
+            head = f"POST /pay/7 HTTP/1.1\r\n{HEAD}Content-Length: 2\r\nExpect: 100-continue\r\n\r\n"
+            client.socket.sendall(head.encode())
+            begun = client.read()
+            assert begun is not None and begun.status == 100
+        one_more = sidecar.client()
+        one_more.send("POST", "/pay/7", b"x", Req_Deadline="15.0")
+        half[0].socket.sendall(b"hi")
+        found = half[0].read()
+        assert found is not None and found.status == 200
+        found = one_more.read()
+        assert found is not None and found.status == 200
+
+
 def test_at_its_limit_requests_at_once_all_get_an_answer() -> None:
     def script(request: Message, client: object) -> bytes:
         time.sleep(0.02)  # the work
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -136,7 +136,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
-        self.server.idle[self] = None
+        self.server.rests(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.lost(self)
@@ -163,7 +163,7 @@
         if not self.deaf and self.in_head and self.reading and self.unparsed > MAX_HEAD:
             self.reject(431)
         if not self.deaf and not self.pending and not self.reading:
-            self.server.idle[self] = None
+            self.server.rests(self)
 
     # The parser
 
@@ -246,7 +246,7 @@
             self.server.changed.set()
             self.hear()
             if not self.reading and not self.deaf:
-                self.server.idle[self] = None
+                self.server.rests(self)
 
     def hear(self) -> None:
         if self.paused and self.transport is not None:
@@ -289,7 +289,8 @@
         self.listener: socket.socket | None = None
         self.listening = False
         self.stopping = False
-        self.changed = asyncio.Event()
+        self.changed = asyncio.Event()  # a connection has ended or has nothing pending
+        self.next_complaint = 0.0
 
     def listen(self, address: Address) -> Address:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
@@ -300,6 +301,12 @@
         bound: Address = self.listener.getsockname()[:2]
         return bound
 
+    def rests(self, connection: ClientConnection) -> None:
+        """Between requests. Hazard: at the limit it makes room for those that wait to be accepted; if only
+        closed ones did, kept connections would shut new ones out."""
+        self.idle[connection] = None
+        self.resume()
+
     def resume(self) -> None:
         if self.listener is not None and not self.listening:
             self.listening = True
@@ -314,22 +321,25 @@
         """Hazard: the loop's own server closes what it has no descriptor for, and a request already
         written to it would be lost. Here it waits in the backlog until there is room."""
         while self.listener is not None:
-            if len(self.connections) >= self.most:
-                if not self.idle:
-                    self.pause()  # until a connection is lost
-                    return
-                oldest = next(iter(self.idle))
-                self.connections.discard(oldest)
-                self.drop(oldest)
+            full = len(self.connections) >= self.most
+            if full and not self.idle:
+                self.pause()  # until a connection rests or is lost
+                return
             try:
                 client, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
-                log.warning("accept: %s", error)
+                if self.loop.time() >= self.next_complaint:
+                    self.next_complaint = self.loop.time() + 1.0
+                    log.warning("accept: %s", error)
                 self.pause()
                 self.loop.call_later(RETRY_ACCEPT_S, self.resume)
                 return
+            if full:  # hazard: no sooner, or one would be closed though nobody waits
+                oldest = next(iter(self.idle))
+                self.connections.discard(oldest)
+                self.drop(oldest)
             connection = ClientConnection(self)
             self.connections.add(connection)
             task = self.loop.create_task(self.adopt(client, connection))
