Timers are told at their time even if the loop's clock is ahead

Seen by reading: the module passes over a TimerFired that comes before its time (run_due) and keeps armed_us, so an early one would end its timers for good. To blame: Engine.later alone stood for that, with 1 ms added. Engine.fire now looks at our clock again and waits on if needed. A dial that is no host name (ValueError) now fails the attempt instead of leaving it to its time-out.

--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import shutil
 import struct
 import subprocess
 import sys
@@ -75,3 +76,18 @@
     assert "`upstream 42 rests`" in page and "`upstream 42 is back`" in page
     assert module.count("api.Log(") == 1
     assert 'api.Log(f"upstream {server.entry.id} " + ("is back", "rests")[rests])' in module
+
+
+def test_build_brings_an_older_venv_up_to_date_and_then_leaves_it_alone(tmp_path: Path) -> None:
+    for name in ("pyproject.toml", "deploy/build.py"):
+        (tmp_path / name).parent.mkdir(exist_ok=True)
+        shutil.copy(ROOT / name, tmp_path / name)
+    old = [sys.executable, "-m", "venv", "--without-pip", ".venv"]  # as the build before this one made it
+    subprocess.run(old, cwd=tmp_path, check=True, timeout=300)
+    imports = [str(tmp_path / ".venv/bin/python"), "-c", "import httptools, uvloop"]
+    assert subprocess.run(imports, capture_output=True, timeout=60).returncode != 0
+    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=tmp_path, check=True, timeout=300)
+    subprocess.run(imports, check=True, timeout=60)
+    built = (tmp_path / ".venv/pyvenv.cfg").stat().st_mtime_ns
+    subprocess.run(["/bin/sh", "-c", DEPLOY["build"]], cwd=tmp_path, check=True, timeout=300)
+    assert (tmp_path / ".venv/pyvenv.cfg").stat().st_mtime_ns == built
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -8,6 +8,7 @@
 from typing import Any, cast
 
 import pytest
+import uvloop
 
 from tests.world import settings
 from wickspread import interface as api
@@ -50,7 +51,7 @@
 
 
 def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    asyncio.run(asyncio.wait_for(test(), 20.0))
+    uvloop.run(asyncio.wait_for(test(), 20.0))
 
 
 def call(engine: Engine, lasts_us: int = 60_000_000) -> Call:
@@ -123,6 +124,10 @@
             engine.perform(api.SetTimer(at_us, 3))
             await fired
             assert engine.clock.now_us() >= at_us
+        # a loop whose clock is ahead calls too early
+        engine, decisions = engine_of(lambda event: [])
+        engine.fire(api.SetTimer(engine.clock.now_us() + 60_000_000, 3), set_already=True)
+        assert decisions.events == []
 
     run(test)
 
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -170,7 +170,7 @@
             case api.Probe():
                 self.probe(action.upstream)
             case api.SetTimer():
-                self.later(action.at_us, self.tell, api.TimerFired(action.token))
+                self.fire(action)
             case api.Subscribe():
                 self.discovery.subscribe(action.active)
             case api.FetchList():
@@ -182,11 +182,18 @@
             case api.TellPeer():
                 raise ValueError("messages to other sidecars are not carried")
 
-    def later(self, at_us: int, call: Callable[..., None], argument: object) -> asyncio.TimerHandle:
-        """Call at or after a time of our clock. Hazard: the loop's timers come up to 1 ms early, and an
-        event told too early would be passed over."""
+    def later(self, at_us: int, call: Callable[..., None], *arguments: object) -> asyncio.TimerHandle:
+        """Call at a time of our clock, within what the loop's timers of whole milliseconds can do."""
         wait_us = max(0, at_us - self.clock.now_us())
-        return self.loop.call_later(wait_us / 1e6 + 0.001, call, argument)
+        return self.loop.call_later(wait_us / 1e6 + 0.001, call, *arguments)
+
+    def fire(self, timer: api.SetTimer, set_already: bool = False) -> None:
+        """Hazard: the loop's clock is not ours and may be ahead; the module passes over a timer that is
+        told too early and would wait for ever. One that is due now waits for the next round."""
+        if set_already and self.clock.now_us() >= timer.at_us:
+            self.tell(api.TimerFired(timer.token))
+        else:
+            self.later(timer.at_us, self.fire, timer, True)
 
     # Attempts
 
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -302,7 +302,7 @@
         try:
             async with asyncio.timeout(self.connect_s):
                 await self.loop.create_connection(lambda: connection, *host.dial)
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:  # ValueError: a name that is none
             if connection.transport is None:
                 self.open -= 1
             else:
