--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -13,7 +13,7 @@
 from tests.world import settings
 from wickspread import interface as api
 from wickspread.sidecar.engine import Call, Clock, Engine
-from wickspread.sidecar.upstream import Connection, Exchange, Host, Pool
+from wickspread.sidecar.upstream import Answer, Connection, Exchange, Host, Pool
 
 Handle = Callable[[int, api.Event], list[api.Action]]
 
@@ -88,6 +88,29 @@
     run(test)
 
 
+def test_an_answer_that_cannot_be_written_takes_no_slot_with_it() -> None:
+    async def test() -> None:
+        class Connections(Pool):
+            def start(self, upstream: int, exchange: Exchange, timeout_s: float) -> None:
+                self.loop.call_soon(exchange.finish, api.Outcome.OK, Answer(200, b"", b"ok", b""))
+
+        engine, decisions = engine_of(
+            lambda event: [api.Send(1, 7)] if isinstance(event, api.RequestArrived) else [])
+        engine.pool = Connections(connect_s=0.2, idle_s=5.0, most=8)
+
+        def reply(status: int, head: bytes, body: bytes) -> None:
+            raise RuntimeError("a fault")
+
+        engine.accept(call(engine), reply)
+        while len(decisions.events) < 2:
+            await asyncio.sleep(0)
+        end = decisions.events[1]
+        assert isinstance(end, api.AttemptEnded) and (end.outcome, end.final) == (api.Outcome.OK, True)
+        assert not engine.requests
+
+    run(test)
+
+
 def test_a_request_that_the_decisions_forget_is_answered_at_its_due_time() -> None:
     async def test() -> None:
         engine, decisions = engine_of(lambda event: [])
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -258,7 +258,12 @@
         entry = self.requests.get(ident)
         if entry is not None and not entry.answered:
             self.settle(ident, entry)
-            entry.reply(status, head, body)
+            try:
+                entry.reply(status, head, body)
+            except Exception:
+                # hazard: on the way out of here the decisions are told how the attempt ended; if they were
+                # not, its slot would stay taken for good
+                log.exception("an answer could not be written")
 
     def settle(self, ident: int, entry: Entry) -> None:
         entry.answered = True
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -380,6 +380,7 @@
         for connection in list(self.idle):
             self.drop(connection)
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
+        self.accept()  # hazard: what still waits in the backlog is reset with the listener, and lost
         self.pause()
         listener, self.listener = self.listener, None
         if listener is not None:
