SIGHUP reads the configuration again and moves discovery's watch

Cause: __main__.serve handled SIGTERM and SIGINT only, so SIGHUP had its default action; and Discovery kept the address of its start.

Now the file is read again, discovery's calls under way are ended and made again at the address it names, asking from version 0, since versions are the old one's own. A file that can't be used is logged and the old one stays. SIGHUP is held back while the program starts and ends (blocked, not only ignored: one that comes while starting is carried out once the handler stands).

Checked: three in a row, one with the same address (the watch stays), a broken file, and a hail of them during a planned stop, as tests on loopback.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -245,10 +245,10 @@
 
     def __enter__(self) -> Self:
         self.folder = tempfile.TemporaryDirectory()
-        path = Path(self.folder.name) / "config.json"
-        path.write_text(json.dumps(self.config))
+        self.path = Path(self.folder.name) / "config.json"
+        self.path.write_text(json.dumps(self.config))
         env = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
-        env |= {"PROXY_NAME": "n0", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(path),
+        env |= {"PROXY_NAME": "n0", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(self.path),
                 "PROXY_DISCOVERY": self.discovery.address}
         self.process = subprocess.Popen(["/bin/sh", "-c", self.before + DEPLOY["run"]], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
@@ -274,6 +274,13 @@
         finally:
             client.close()
 
+    def reload(self, text: str) -> None:
+        """Replace the file of the configuration and tell the sidecar so."""
+        new = self.path.with_suffix(".new")
+        new.write_text(text)
+        new.replace(self.path)
+        self.process.send_signal(signal.SIGHUP)
+
     def stop(self) -> int:
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(LONG_S)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import json
+import signal
+import threading
+
 import pytest
 
-from tests.sockets import Discovery, Sidecar, Upstream, eventually
+from tests.sockets import LONG_S, Discovery, Message, Sidecar, Upstream, answer, eventually
 
 
 def served_by(sidecar: Sidecar, upstream: Upstream) -> bool:
@@ -84,3 +88,54 @@
             eventually(lambda: discovery.calls)
             assert served_by(sidecar, one)
             assert len(discovery.calls) == 1 and not [line for line in sidecar.lines if "bad list" in line]
+
+
+def test_a_new_configuration_moves_the_watch_and_the_old_version_does_not_go_along() -> None:
+    """Unhandled, SIGHUP ends the program."""
+    with (Upstream(body=b"ok") as old, Upstream(body=b"ok") as new, Discovery([new.entry()]) as second,
+          Sidecar([old]) as sidecar):
+        eventually(lambda: sidecar.discovery.watches)
+        changed = json.dumps(sidecar.config | {"discovery": second.address})
+        for _ in range(3):
+            sidecar.reload(changed)
+        eventually(lambda: served_by(sidecar, new))
+        assert second.calls[0] == "GET /v1/endpoints?stream=1&index=0 HTTP/1.1"
+        watched = sidecar.discovery.watches[0]
+        eventually(lambda: watched.fileno() == -1)  # the old watch is ended
+        assert not served_by(sidecar, old)
+        sidecar.reload(changed)  # nothing has changed: the watch stays
+        eventually(lambda: len([line for line in sidecar.lines if "is read again" in line]) >= 2)
+        assert len(second.calls) == 1 and sidecar.stop() == 0
+
+
+def test_a_bad_new_configuration_is_logged_and_the_old_one_stays() -> None:
+    with Upstream(body=b"ok") as one, Upstream(body=b"ok") as two, Sidecar([one]) as sidecar:
+        eventually(lambda: sidecar.discovery.watches)
+        sidecar.reload("{")
+        eventually(lambda: [line for line in sidecar.lines if "is not taken" in line])
+        sidecar.discovery.tell(two.entry())
+        eventually(lambda: served_by(sidecar, two))
+        assert len(sidecar.discovery.calls) == 1
+
+
+def test_a_new_configuration_during_a_planned_stop_is_harmless() -> None:
+    release = threading.Event()
+
+    def script(request: Message, client: object) -> bytes:
+        release.wait(LONG_S)
+        return answer(b"ok")
+
+    with (Upstream(script=script) as upstream, Discovery([upstream.entry()]) as second,
+          Sidecar([upstream]) as sidecar):
+        client = sidecar.client()
+        client.send("POST", "/pay/1", b"x", Req_Deadline="15.0")
+        eventually(lambda: upstream.requests)
+        sidecar.process.terminate()
+        sidecar.reload(json.dumps(sidecar.config | {"discovery": second.address}))
+        eventually(lambda: second.calls)
+        release.set()
+        found = client.read()
+        assert found is not None and found.status == 200
+        while sidecar.process.poll() is None:
+            sidecar.process.send_signal(signal.SIGHUP)
+        assert sidecar.process.returncode == 0
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -36,15 +36,31 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         engine.loop.add_signal_handler(number, stop.set)
+    engine.loop.add_signal_handler(signal.SIGHUP, reload, discovery)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     host, port = server.listen(config.listen)
     log.info("%s listens on %s:%d", config.name, host, port)
     await stop.wait()
     await server.stop()
     discovery.close()
     pool.close()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
+
+def reload(discovery: Discovery) -> None:
+    """SIGHUP. Only the address of discovery is taken over; the rest of the file waits for a restart."""
+    try:
+        address = configuration.load(os.environ).discovery
+    except configuration.ConfigError as error:
+        log.warning("the new configuration is not taken: %s", error)
+        return
+    log.info("the configuration is read again; discovery is at %s:%d", *address)
+    discovery.move(address)
 
 
 def main() -> int:
+    # hazard: unhandled, SIGHUP ends the process; it waits while we start, and is ignored once we end
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     logging.basicConfig(format="wickspread: %(message)s", level=logging.INFO)
     try:
         uvloop.run(serve(configuration.load(os.environ)))
--- a/wickspread/sidecar/config.py
+++ b/wickspread/sidecar/config.py
@@ -77,7 +77,8 @@
         return Config(
             name=env["PROXY_NAME"],
             listen=parse_address(env["PROXY_LISTEN"]),
-            discovery=parse_address(env["PROXY_DISCOVERY"]),
+            # the file's comes first: it is the one that can be replaced while we run
+            discovery=parse_address(told.get("discovery", env["PROXY_DISCOVERY"])),
             seed=int(str(told["seed"]), 16),
             sockets=min(int(limits.get("sockets", 1024)), soft),
             settings=wire.parse_settings("\n".join(options(told["settings"]))),
--- a/wickspread/sidecar/discovery.py
+++ b/wickspread/sidecar/discovery.py
@@ -100,12 +100,29 @@
         self.pushed = pushed
         self.sink: Sink | None = None
         self.watch: Call | None = None
+        self.wanted = pushed  # a watch is asked for
+        self.closed = False
         self.calls: set[Call] = set()
         self.loop = asyncio.get_running_loop()
         if pushed:
             self.loop.call_soon(self.subscribe, True)
 
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere now; what is under way is asked for there at once."""
+        if self.closed or address == self.address:
+            return
+        # hazard: versions are the old one's own; by them the new one might leave out what we don't know
+        self.address, self.version = address, 0
+        fetches = [call for call in self.calls if not call.watching]
+        for call in list(self.calls):
+            call.close()
+        self.watch = None
+        self.subscribe(self.wanted)
+        for _ in fetches:
+            self.fetch()
+
     def subscribe(self, active: bool) -> None:
+        self.wanted = active
         if self.watch is not None:
             self.watch.close()  # the new call gives the answer
             self.watch = None
@@ -137,6 +154,7 @@
             self.sink.list_failed()
 
     def close(self) -> None:
+        self.closed = True
         for call in list(self.calls):
             call.close()
 
