An upstream loses slots by failing more than all do, not by each failure

Now a failure halves the window only if the upstream's own failed share (of about 8) is beyond twice that of all (about 64) plus 0.15; FULL halves as before.

Ruled out in the trace: the slots of all together, time, CPU.

--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -346,6 +346,18 @@
     assert held(world) >= before / 2 - 1
 
 
+@pytest.mark.parametrize("fault", [Outcome.RESET, Outcome.ERROR])
+def test_failures_that_come_alike_from_all_close_no_slots(fault: Outcome) -> None:
+    """Peers that break off one answer in ten, whoever it is of: fewer slots only refuse the other nine."""
+    world = ready_world(10)
+    for step in range(400):
+        request = world.arrive(PAY)
+        world.advance(10_000)
+        world.end(request, 0, fault if step % 10 == 9 else Outcome.OK)
+    windows = [server.slots.window for server in world.balancer.servers.values()]
+    assert sum(window >= 1.0 for window in windows) >= 8
+
+
 def test_one_heavy_request_among_quick_answers_closes_no_slot() -> None:
     world = busy_world()
     before = held(world)
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -20,6 +20,7 @@
 ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
 MIXER = 0x9E3779B97F4A7C15  # odd and without pattern: ids and keys that differ a little end far apart
 FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
+ILL = 0.15  # beyond twice the failed share of all, from which an upstream counts as ill
 GAP_US = 1_000_000  # at most a log line and a new own order in this: some answers of a small sidecar
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 
@@ -59,6 +60,7 @@
         self.told_us = 0  # when it last reported, or left a probe unanswered
         self.size = 1.0  # its weight, where weights speak of size
         self.resting = False  # as last logged
+        self.failing = 0.0  # share of its last 8 attempts or so that failed
 
 
 class Attempt:
@@ -107,6 +109,7 @@
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
         self.shut = 0.0  # share of attempts that got no connection
+        self.failing = 0.0  # share of the last 64 attempts or so that failed anywhere
         self.short_us = 0  # when a request last found no free slot
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
@@ -265,13 +268,18 @@
             # no sign of a crowd: it may be lost answers, and it holds its slot long enough
             floor = min(1.0, part / 4 * len(self.warm))
             self.total.follow(load, needed, floor, max(1.0, self.total.window))
+        if outcome is not api.Outcome.NOT_SENT:
+            failed = float(outcome is not api.Outcome.OK)
+            server.failing += (failed - server.failing) / 8
+            self.failing += (failed - self.failing) / 64
         self.shut += (float(outcome is api.Outcome.CONNECT_FAILED) - self.shut) / 8
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
             slots.follow(load, needed, min(1.0, part / 4), 1.0)
             self.answer_us[class_index] += (max(1, elapsed_us) - self.answer_us[class_index]) / 8
-        elif outcome is not api.Outcome.NOT_SENT:
-            # hazard: what fails at once frees its slot at once and so would draw ever more
+        elif outcome is api.Outcome.FULL or server.failing > ILL + 2 * self.failing:
+            # hazard: what fails at once frees its slot at once and so would draw ever more; yet where one in
+            # 25 fails whoever it is of, to close slots for each refuses half of all
             slots.window = max(slots.window / 2, SMALLEST_WINDOW)
         # hazard: beside answers of seconds, short rests leave a choked upstream crowded
         busy_us = max(min(self.answer_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
