A few sidecars use one slot each of cold upstreams in a shortage; a restart has fresh slots

Cause and the trace: after a mass restart 8 of 15 upstreams are cold; cold_turn() returned none while no warm slot was free, so two sidecars refused 24 of 100 tries though the cold ones stood idle; and on_list() kept the windows of the process before (0.1 to 0.3, resting), also when they were warm again.

Now up to 4 sidecars take one slot of a cold upstream when no warm one is free, and a new started_us begins with one open slot. Tried and ruled out by test_rules: without a look at failures, an upstream that fails at once would be sent 1.28 times what it bears (its slot frees at once); so only while it fails no more than 0.15 of its last attempts. More than 4 sidecars keep to the old rule.

--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -125,6 +125,28 @@
     assert 0 < cold <= 17  # a quarter of 170 would be its share when warm
 
 
+def test_in_a_shortage_a_few_sidecars_use_one_slot_of_a_cold_upstream_unless_it_fails() -> None:
+    world = World(settings(instances=2))
+    world.tell_list([Upstream(1, started_us=world.now_us - 1_000), *upstreams(2)])
+    taken = fill(world)
+    to_cold = [r for r in taken if any(s.upstream == 1 for s in world.sends(r))]
+    assert len(to_cold) == 1
+    for _ in range(2):
+        at_cold = [r for r in taken if world.owed[r].out() and world.owed[r].tries[-1].upstream == 1]
+        for request in at_cold:
+            world.end(request, len(world.owed[request].tries) - 1, Outcome.ERROR)
+        taken += fill(world)
+    assert sum(1 for s in world.sends() if s.upstream == 1) <= 2
+
+
+def test_an_upstream_that_has_restarted_starts_with_fresh_slots() -> None:
+    world = ready_world(2)
+    churn(world, 100, 100, Outcome.CONNECT_FAILED)
+    assert world.balancer.servers[100].slots.window < 0.1
+    world.tell_list([Upstream(100, started_us=world.now_us - 1_000), Upstream(101)])
+    assert world.balancer.servers[100].slots.window == 1.0
+
+
 def test_drained_upstreams_get_nothing() -> None:
     world = ready_world(2)
     world.tell_list([Upstream(100, UpstreamState.DRAINING), Upstream(101, UpstreamState.GONE)])
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -335,9 +335,13 @@
 
     def cold_turn(self, request: Request, warm: Server | None) -> Server | None:
         """Rule 4: of the sends that warm ones have room for (none warm: of arrivals) a cold one gets its
-        share of capacity, by a quarter of the multiple. Hazard: in a shortage all would fall on it."""
+        share of capacity, by a quarter of the multiple. Hazard: in a shortage all would fall on it,
+        by hundreds of sidecars."""
         if warm is None and self.warm:
-            return None
+            # one out from each of a few sidecars can't choke it, unless it fails at once
+            few = [s for s in self.cold if s.failing <= ILL] if self.settings.instances <= FEW else []
+            open_now = [s for s in few if self.open_slots(s) > 0 and self.in_group(request, s)]
+            return self.random.choice(open_now) if open_now else None
         shares = [server.size * self.warmth(server) for server in self.cold]
         rest = sum(server.size for server in self.warm or self.cold)
         turn = self.random.random() * (rest + sum(shares)) / min(1.0, self.settings.overload_factor / 4)
@@ -421,6 +425,8 @@
         listed = {entry.id for entry in event.upstreams}
         for entry in event.upstreams:
             server = self.servers.setdefault(entry.id, Server(entry, self.random.expovariate(1.0)))
+            if entry.started_us != server.entry.started_us:  # what its last process did says nothing now
+                server.failing, server.slots.window, server.slots.rest_until_us = 0.0, 1.0, 0
             server.entry = entry
             server.size = entry.weight if self.settings.weighted and entry.weight > 0.0 else server.size
         for server in list(self.servers.values()):
