Who is ill is held against the upstream in the middle, and over 16 attempts

By the median the bound stays at 0.2 as long as most are well. The share is taken over 16 attempts, not 8: by 8, chance makes someone ill about once a second where 3 in 100 are spoilt.

--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -380,6 +380,18 @@
     assert sum(window >= 1.0 for window in windows) >= 8
 
 
+def test_those_that_fail_lose_their_slots_also_if_they_are_nearly_half_of_all() -> None:
+    world = ready_world(10)
+    for _ in range(400):
+        request = world.arrive(PAY)
+        world.advance(10_000)
+        for attempt in world.owed[request].out():
+            world.end(request, attempt, Outcome.ERROR if world.owed[request].tries[attempt].upstream < 104
+                      else Outcome.OK)
+    windows = {ident: server.slots.window for ident, server in world.balancer.servers.items()}
+    assert all((window < 0.3) is (ident < 104) for ident, window in windows.items()), windows
+
+
 def test_one_heavy_request_among_quick_answers_closes_no_slot() -> None:
     world = busy_world()
     before = held(world)
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -20,7 +20,7 @@
 ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
 MIXER = 0x9E3779B97F4A7C15  # odd and without pattern: ids and keys that differ a little end far apart
 FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
-ILL = 0.15  # beyond twice the failed share of all, from which an upstream counts as ill
+ILL = 0.2  # failed share, beyond twice that of the one in the middle, from which an upstream is ill
 GAP_US = 1_000_000  # at most a log line and a new own order in this: some answers of a small sidecar
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 
@@ -60,7 +60,7 @@
         self.told_us = 0  # when it last reported, or left a probe unanswered
         self.size = 1.0  # its weight, where weights speak of size
         self.resting = False  # as last logged
-        self.failing = 0.0  # share of its last 8 attempts or so that failed
+        self.failing = 0.0  # share of its last 16 attempts or so that failed
 
 
 class Attempt:
@@ -109,7 +109,6 @@
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
         self.shut = 0.0  # share of attempts that got no connection
-        self.failing = 0.0  # share of the last 64 attempts or so that failed anywhere
         self.short_us = 0  # when a request last found no free slot
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
@@ -269,15 +268,13 @@
             floor = min(1.0, part / 4 * len(self.warm))
             self.total.follow(load, needed, floor, max(1.0, self.total.window))
         if outcome is not api.Outcome.NOT_SENT:
-            failed = float(outcome is not api.Outcome.OK)
-            server.failing += (failed - server.failing) / 8
-            self.failing += (failed - self.failing) / 64
+            server.failing += (float(outcome is not api.Outcome.OK) - server.failing) / 16
         self.shut += (float(outcome is api.Outcome.CONNECT_FAILED) - self.shut) / 8
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
             slots.follow(load, needed, min(1.0, part / 4), 1.0)
             self.answer_us[class_index] += (max(1, elapsed_us) - self.answer_us[class_index]) / 8
-        elif outcome is api.Outcome.FULL or server.failing > ILL + 2 * self.failing:
+        elif outcome in (api.Outcome.FULL, api.Outcome.CONNECT_FAILED) or self.ill(server):
             # hazard: what fails at once frees its slot at once and so would draw ever more; yet where one in
             # 25 fails whoever it is of, to close slots for each refuses half of all
             slots.window = max(slots.window / 2, SMALLEST_WINDOW)
@@ -290,6 +287,12 @@
             self.next_log_us, server.resting = self.now_us + GAP_US, rests
             self.actions.append(api.Log(f"upstream {server.entry.id} " + ("is back", "rests")[rests]))
 
+    def ill(self, server: Server) -> bool:
+        """Held against the one in the middle: what fails alike everywhere is no upstream's fault, and by the
+        mean half of them could fail unnoticed."""
+        shares = sorted(one.failing for one in self.warm)
+        return bool(shares) and server.failing > ILL + 2 * shares[(len(shares) - 1) // 2]
+
     def warmth(self, server: Server) -> float:
         """Rule 4: the share of its capacity that an upstream surely has by now."""
         s, age_us = self.settings, self.now_us - server.entry.started_us
@@ -339,7 +342,7 @@
         by hundreds of sidecars."""
         if warm is None and self.warm:
             # one out from each of a few sidecars can't choke it, unless it fails at once
-            few = [s for s in self.cold if s.failing <= ILL] if self.settings.instances <= FEW else []
+            few = [s for s in self.cold if s.failing <= ILL / 2] if self.settings.instances <= FEW else []
             open_now = [s for s in few if self.open_slots(s) > 0 and self.in_group(request, s)]
             return self.random.choice(open_now) if open_now else None
         shares = [server.size * self.warmth(server) for server in self.cold]
