--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -229,6 +229,19 @@
         assert sidecar.client().request("POST", "/pay/7", b"x").status == 200
 
 
+def test_at_the_limit_new_connections_are_let_in_as_fast_as_they_come() -> None:
+    with Upstream(body=b"ok") as upstream, Sidecar([upstream], before="ulimit -n 96; ") as sidecar:
+        kept = [sidecar.client() for _ in range(LIMIT)]
+        for client in kept:
+            assert client.request("POST", "/pay/7", b"x").status == 200
+        started = time.monotonic()
+        clients = []
+        for _ in range(400):
+            clients.append(sidecar.client())
+            assert clients[-1].request("POST", "/pay/7", b"x").status == 200
+        assert time.monotonic() - started < 12.0  # 20 s if one is let in in 50 ms
+
+
 def test_a_connection_that_never_asks_is_ended_and_half_a_request_is_an_error(pair: Pair) -> None:
     body = f"POST /pay/7 HTTP/1.1\r\n{HEAD}Content-Length: 300\r\n\r\nhalf"
     raws = ["", "GET /re", f"GET /read/7 HTTP/1.1\r\n{HEAD}X: ", body, "\r\n"]
