--- a/deploy/build.py
+++ b/deploy/build.py
@@ -1,4 +1,4 @@
-"""Brings .venv up to date with the `sidecar` pins of pyproject.toml; does nothing when it already is."""
+"""Brings .venv up to date with the `sidecar` pins of pyproject.toml, and compiles what `run` imports."""
 
 import subprocess
 import sys
@@ -16,12 +16,13 @@
     pins = project["optional-dependencies"]["sidecar"]
     stamp = "\n".join([sys.version, str(VENV), *pins])  # a venv holds its interpreter's and its own path
     python = VENV / "bin" / "python"
-    if python.exists() and STAMP.exists() and STAMP.read_text() == stamp:
-        return
-    venv.create(VENV, clear=True, symlinks=True, with_pip=True)
-    subprocess.run([python, "-m", "pip", "install", "--quiet", "--disable-pip-version-check", *pins],
-                   check=True)
-    STAMP.write_text(stamp)
+    if not (python.exists() and STAMP.exists() and STAMP.read_text() == stamp):
+        venv.create(VENV, clear=True, symlinks=True, with_pip=True)
+        subprocess.run([python, "-m", "pip", "install", "--quiet", "--disable-pip-version-check", *pins],
+                       check=True)
+        STAMP.write_text(stamp)
+    # hazard: `run` writes no byte code; compiled anew at each start, it is away longer at a restart
+    subprocess.run([python, "-m", "compileall", "-q", ROOT / "wickspread"], check=False)
 
 
 if __name__ == "__main__":
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -193,8 +193,9 @@
         if self.complete or 100 <= self.parser.get_status_code() < 200:
             return
         self.in_head = False
-        if self.raw > MAX_RAW or any(name.lower() == b"content-length" and int(value) > MAX_BODY
-                                     for name, value in self.headers):
+        size = sum(len(name) + len(value) + 4 for name, value in self.headers)  # it may all come in one read
+        if size > MAX_HEAD or any(name.lower() == b"content-length" and int(value) > MAX_BODY
+                                  for name, value in self.headers):
             raise ValueError("too large")  # hazard: 3 GB would keep coming until the time-out
 
     def on_body(self, body: bytes) -> None:
