--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -612,6 +612,20 @@
     assert slots.window >= before
 
 
+def test_where_the_other_answers_are_slow_too_nothing_is_presumed_lost() -> None:
+    """Hazard: in an overload more than the slots hold would lengthen the queues."""
+    world = ready_world(1, instances=2)
+    for _ in range(12):
+        request = world.arrive(PAY, patience_us=9_000_000)
+        world.advance(140_000)
+        world.end(request, 0, Outcome.OK)
+    before = len(world.sends())
+    for _ in range(30):
+        world.arrive(PAY, patience_us=9_000_000)
+        world.advance(30_000)
+    assert len(world.sends()) == before + 1
+
+
 def test_a_late_answer_to_what_was_presumed_lost_is_taken_and_frees_nothing_twice() -> None:
     world = ready_world(1, instances=2)
     late = world.arrive(PAY, patience_us=9_000_000)
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -19,6 +19,8 @@
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
 ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
 ANYWAY = 1 / 8  # of draws are blind to who fails, else one that failed would not be seen to be well again
+LOST = 3  # times its upstream's usual answer, from which one may be lost
+QUICK = 0.49  # of the slow time: upstreams whose usual answer is quicker have room for more
 DOUBTS = 2  # attempts presumed lost with no answer meanwhile: a few are tried on, a vanished one is not fed
 MIXER = 0x9E3779B97F4A7C15  # odd and without pattern: ids and keys that differ a little end far apart
 FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
@@ -112,6 +114,7 @@
         self.asks = (settings.probes and "in_flight" in settings.report_names
                      and settings.instances > MOST_AT_FIRST)  # few sidecars know the upstreams by themselves
         self.fresh_us = min(c.aim_us for c in settings.classes) // 20  # a report counts so long
+        self.quickest_us = min(self.half_aim_us(n) for n in range(len(settings.classes)))
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
         self.shut = 0.0  # share of attempts that got no connection
@@ -277,8 +280,7 @@
             server.failing += (float(outcome is not api.Outcome.OK) - server.failing) / 16
         self.shut += (float(outcome is api.Outcome.CONNECT_FAILED) - self.shut) / 8
         # hazard: where later answers come, a lost one is no sign of a crowd; slots closed for it only refuse
-        lost = (outcome is api.Outcome.TIMEOUT and server.answered_us > attempt.sent_us
-                and elapsed_us >= 3 * server.answer_us)
+        lost = outcome is api.Outcome.TIMEOUT and self.passed(attempt)
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT) and not lost:
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
             slots.follow(load, needed, min(1.0, part / 4), 1.0)
@@ -402,10 +404,10 @@
         if not (self.may_send(request) and self.in_group(request, server) and self.open_slots(server) > 0):
             self.finish(request)
             return
+        request.attempts.append(Attempt(server, self.now_us))
         server.slots.used += 1
         self.total.used += 1
         server.crowd = None if server.crowd is None else server.crowd + 1.0
-        request.attempts.append(Attempt(server, self.now_us))
         left_us, usual_us = request.until_us - self.now_us, self.usual_us(request)
         may_follow = request.kind.effect != "at_most_once"
         timeout_us = min(left_us, usual_us) if may_follow else left_us
@@ -421,26 +423,32 @@
         return max(int(3 * self.answer_us[kind]), self.half_aim_us(kind), 4 * request.event.cost_us)
 
     def presume_lost(self, request: Request) -> None:
-        """Hazard: where a part of all answers is lost (a path, a worker, a connection that hangs), each
-        would hold its slot till due, and upstreams that answer the others at once would stand idle. The
-        slot is freed when later sends have been answered; one is tried where no answer tells. It hurts
-        where requests rest upstream by turns of their own: those that were passed are sent on top. A crowd
-        (all are late) or a silence (none is answered) keeps its slots."""
+        """Hazard: where a part of all answers is lost (a path, a worker, connections that hang), each would
+        hold its slot till due, and upstreams that answer the others at once would stand idle. Its slot is
+        freed if a later send has been answered, or as one of a few tries. A crowd (what is answered is
+        slow) and a silence keep theirs. It hurts where some requests are much heavier."""
         attempt = request.attempts[-1]
         server, since_us = attempt.server, self.now_us - attempt.sent_us
-        wait_us = max(self.usual_us(request), int(3 * server.answer_us)) - since_us
-        passed = server.answered_us > attempt.sent_us
         if attempt.ended is not None or attempt.lost:
             return
-        if wait_us > 0 or not (passed or (server.doubts < DOUBTS and server.failing < 0.5)):
-            self.wake(self.now_us + max(wait_us, self.half_aim_us(request.event.class_index) // 4), "slot",
-                      request.event.request)
+        wait_us = max(self.usual_us(request), int(LOST * server.answer_us)) - since_us
+        tried = self.quick(server) and server.doubts < DOUBTS and server.failing < 0.5
+        if wait_us > 0 or not (tried or self.passed(attempt)):
+            again_us = max(wait_us, self.half_aim_us(request.event.class_index) // 4)
+            self.wake(self.now_us + again_us, "slot", request.event.request)
             return
         attempt.lost = True
         server.doubts += 1
         self.free(attempt)
         self.judge(attempt, api.Outcome.TIMEOUT, since_us, request.event.class_index)
 
+    def passed(self, attempt: Attempt) -> bool:
+        return self.quick(attempt.server) and attempt.server.answered_us > attempt.sent_us
+
+    def quick(self, server: Server) -> bool:
+        """Hazard: where answers are slow too, what is out waits in a queue; more would only lengthen it."""
+        return server.answer_us <= QUICK * self.quickest_us
+
     def free(self, attempt: Attempt) -> None:
         attempt.server.slots.used -= 1
         self.total.used -= 1
