--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -7,6 +7,7 @@
 import select
 import socket
 import struct
+import threading
 from typing import Any
 
 import pytest
@@ -140,6 +141,25 @@
             client.close()
 
 
+def test_what_waited_for_a_sidecar_to_start_finds_two_slots_of_each_upstream() -> None:
+    release = threading.Event()
+
+    def script(request: Message, client: socket.socket) -> bytes:
+        release.wait(LONG_S)
+        return answer(b"ok")
+
+    with Upstream(script=script) as upstream, Sidecar([upstream], instances="2") as sidecar:
+        clients = [sidecar.client() for _ in range(2)]
+        for client in clients:
+            client.send("POST", "/pay/7", b"x", Req_Deadline="15")
+        eventually(lambda: len(upstream.requests) == 2)
+        release.set()
+        for client in clients:
+            found = client.read()
+            assert found is not None and found.status == 200
+            client.close()
+
+
 def test_a_keyed_request_that_may_have_run_stays_in_its_cell() -> None:
     def entry(upstream: Upstream, block: int) -> dict[str, object]:
         return upstream.entry(block=block)
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -56,10 +56,11 @@
 
 
 class Server:  # what this sidecar knows of one upstream
-    def __init__(self, entry: api.Upstream, order: float) -> None:
+    def __init__(self, entry: api.Upstream, order: float, opening: float) -> None:
         self.entry = entry
         self.order = order  # this sidecar's own, at random
         self.slots = Slots(1.0)  # one slot, as in the paper
+        self.slots.window = opening
         self.crowd: float | None = None  # requests it holds by its last report; None = it told none
         self.told_us = 0  # when it last reported, or left a probe unanswered
         self.size = 1.0  # its weight, where weights speak of size
@@ -485,8 +486,11 @@
         if event.kind is not api.ListKind.CACHED:  # answered
             self.list_failures = self.ask_list_us = 0
         listed = {entry.id for entry in event.upstreams}
+        # hazard: after a restart beside one other, all that came meanwhile comes at once; where all start
+        # together it crowds a little, till slow answers close the second slots
+        opening = 2.0 if 4 * self.settings.instances <= MOST_AT_FIRST else 1.0
         for entry in event.upstreams:
-            server = self.servers.setdefault(entry.id, Server(entry, self.random.expovariate(1.0)))
+            server = self.servers.setdefault(entry.id, Server(entry, self.random.expovariate(1.0), opening))
             if entry.started_us != server.entry.started_us:  # what its last process did says nothing now
                 server.failing, server.slots.window, server.slots.rest_until_us = 0.0, 1.0, 0
             server.entry = entry
