--- a/tests/test_calm.py
+++ b/tests/test_calm.py
@@ -63,6 +63,18 @@
     assert len(world.sends(request)) == 1 and not isinstance(world.answer(request), Fail)
 
 
+def test_a_stream_that_has_begun_is_not_presumed_lost() -> None:
+    feed = RequestClass("feed", 100_000, 500_000, stream=True, effect="at_most_once", late_worth=0.5)
+    world = World(settings(classes=[feed]))
+    world.tell_list(upstreams(3))
+    request = world.arrive(0)
+    world.begin_stream(request, 0)
+    world.advance(3_000_000)
+    assert world.balancer.total.used == 1
+    world.end(request, 0, Outcome.OK)
+    assert world.balancer.total.used == 0 and not world.balancer.requests
+
+
 def test_the_same_events_and_seed_give_the_same_actions() -> None:
     first, second, other = (Balancer(settings(), seed, START_US) for seed in (5, 5, 6))
     told = []
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -430,7 +430,7 @@
         slow) and a silence keep theirs. It hurts where some requests are much heavier."""
         attempt = request.attempts[-1]
         server, since_us = attempt.server, self.now_us - attempt.sent_us
-        if attempt.ended is not None or attempt.lost:
+        if attempt.ended is not None or attempt.lost or request.done:  # done: it streams, or nobody waits
             return
         wait_us = max(self.usual_us(request), int(LOST * server.answer_us)) - since_us
         tried = self.quick(server) and server.doubts < DOUBTS and server.failing < 0.5
