--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -647,6 +647,7 @@
     for _ in range(200):
         for server in failing:
             server.failing = 0.3
+            world.balancer.fleet.touch(server, world.now_us)
         taken = [world.arrive(PAY) for _ in range(4)]
         at_failing += world.sends(taken[0])[0].upstream in (100, 101)
         assert {world.sends(request)[0].upstream for request in taken} == set(world.known)
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -5,72 +5,31 @@
 """
 
 import heapq
+import math
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 
 from wickspread import interface as api
+from wickspread.fleet import FEW, Fleet, Server, Slots
+from wickspread.subset import Subset
 
 MOST_AT_FIRST = 8.0  # first slots an upstream, all sidecars together: what a few cores serve within an aim
 LEAST_IN_ALL = 3.0  # first slots of one sidecar at all upstreams: 2 refuse what comes together, 4 crowd
-MOST_SLOTS = 8  # times the first slots, however quick the answers
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
-GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
-FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
 ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
 ANYWAY = 1 / 8  # of draws are blind to who fails, else one that failed would not be seen to be well again
 LOST = 3  # times its upstream's usual answer, from which one may be lost
 QUICK = 0.49  # of the slow time: upstreams whose usual answer is quicker have room for more
 DOUBTS = 2  # attempts presumed lost with no answer meanwhile: a few are tried on, a vanished one is not fed
 MIXER = 0x9E3779B97F4A7C15  # odd and without pattern: ids and keys that differ a little end far apart
-FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
 ILL = 0.2  # failed share, beyond twice that of the one in the middle, from which an upstream is ill
+SUSPECT = 0.5  # failed share from which another upstream of a large fleet is used beside this one
 GAP_US = 1_000_000  # at most a log line and a new own order in this: some answers of a small sidecar
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 
 
-class Slots:
-    """Outstanding sends to one upstream, or to all of them together."""
-
-    def __init__(self, window: float) -> None:
-        self.used = 0
-        self.first = window
-        self.window = window  # how many are open while all is well; below 1 the one slot rests between sends
-        self.rest_until_us = 0
-
-    def free(self, now_us: int) -> int:
-        return (int(self.window) if self.window >= 1.0 else int(now_us >= self.rest_until_us)) - self.used
-
-    def follow(self, load: float, needed: bool, floor: float, ways: float) -> None:
-        step = GROWTH * (FULL_LOAD - load) / max(self.window, 1.0)
-        if step < 0.0:
-            # hazard: after an outage all would rest for long, and where all are slow it only refuses more
-            self.window = max(self.window * (1.0 + step), min(self.window, floor))
-        elif self.window < self.first or needed:
-            # hazard: slots opened without need, by many sidecars above all, choke bursts
-            self.window = min(self.window + min(self.window, step * ways), MOST_SLOTS * self.first)
-
-    def rest(self, now_us: int, busy_us: float, chance: float) -> None:
-        if self.window < 1.0:
-            self.rest_until_us = now_us + int(busy_us * (1.0 / self.window - 1.0) * (0.5 + chance))
-
-
-class Server:  # what this sidecar knows of one upstream
-    def __init__(self, entry: api.Upstream, order: float, opening: float) -> None:
-        self.entry = entry
-        self.order = order  # this sidecar's own, at random
-        self.slots = Slots(1.0)  # one slot, as in the paper
-        self.slots.window = opening
-        self.crowd: float | None = None  # requests it holds by its last report; None = it told none
-        self.told_us = 0  # when it last reported, or left a probe unanswered
-        self.size = 1.0  # its weight, where weights speak of size
-        self.resting = False  # as last logged
-        self.failing = 0.0  # share of its last 16 attempts or so that failed
-        self.answer_us = 0.0  # its answers, smoothed
-        self.answered_us = 0  # when the last sent of the attempts that it has answered was sent
-        self.doubts = 0  # attempts presumed lost since it last answered
-
-
 class Attempt:
     def __init__(self, server: Server, now_us: int) -> None:
         self.server = server
@@ -106,14 +65,20 @@
         self.home = settings.zone if settings.cross_zone_fee > 0 else -1  # zones count where crossing costs
         self.now_us = now_us
         self.actions: list[api.Action] = []
-        self.servers: dict[int, Server] = {}  # in the order first listed
+        self.entries: dict[int, api.Upstream] = {}  # the list
+        self.fleet = Fleet(settings, self.home, now_us)  # what is known of those that this sidecar uses
+        self.servers = self.fleet.servers
+        self.subset = Subset(settings.self_index, settings.instances, settings.most_upstreams, self.home)
+        self.sharing = float(settings.instances)  # sidecars that use the same upstreams
+        self.select_soon = False  # a member of the subset is ill
+        self.busiest = 0  # sends that were out together since the order was renewed
+        # rule 2: where keyed work may go on; of the whole list, as the subset holds few of one cell
+        self.by_cell = any(c.effect == "deduplicated" and c.group == "cell" for c in settings.classes)
+        self.cells: dict[int, dict[int, None]] = {}
         self.requests: dict[int, Request] = {}
-        self.warm: list[Server] = []  # ready ones in this sidecar's own order
-        self.cold: list[Server] = []  # ready ones that may not be warm yet
         self.buffer: Request | None = None
         self.asking: dict[int, Request] = {}  # those that wait to hear the load of a few upstreams
-        self.asks = (settings.probes and "in_flight" in settings.report_names
-                     and settings.instances > MOST_AT_FIRST)  # few sidecars know the upstreams by themselves
+        self.reports = settings.probes and "in_flight" in settings.report_names
         self.fresh_us = min(c.aim_us for c in settings.classes) // 20  # a report counts so long
         self.quickest_us = min(self.half_aim_us(n) for n in range(len(settings.classes)))
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
@@ -128,8 +93,13 @@
         self.list_failures = self.ask_list_us = 0  # failed calls; when the list is asked for next, 0 = never
         self.ask_list_at(now_us)
 
+    @property
+    def asks(self) -> bool:
+        return self.reports and self.sharing > MOST_AT_FIRST  # few sidecars know the upstreams by themselves
+
     def handle(self, now_us: int, event: api.Event) -> list[api.Action]:
         self.now_us = now_us
+        self.fleet.settle(now_us)
         if isinstance(event, api.AttemptEnded):
             self.on_attempt_ended(event)
         elif isinstance(event, api.RequestArrived) and event.request not in self.requests:
@@ -145,10 +115,14 @@
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
         elif isinstance(event, api.ProbeEnded) and event.upstream in self.servers:
-            self.on_report(self.servers[event.upstream], event.report)
-            for request in [r for r in self.asking.values() if self.servers[event.upstream] in r.asking]:
-                self.choose(request)
-        if self.buffer is not None and self.warm:  # rule 4: cold ones are drawn once a request
+            server_told = self.servers[event.upstream]
+            self.on_report(server_told, event.report)
+            for ident in list(server_told.askers):
+                if ident in self.asking:
+                    self.choose(self.asking[ident])
+        if self.select_soon:
+            self.select()
+        if self.buffer is not None and len(self.fleet.warm):  # rule 4: cold ones are drawn once a request
             request, (server, _) = self.buffer, self.draw(self.buffer)
             if server is not None:
                 self.buffer = None
@@ -160,7 +134,7 @@
     def on_arrival(self, event: api.RequestArrived) -> None:
         request = self.requests[event.request] = Request(event, self.settings, self.now_us)
         if self.now_us >= self.sort_us:
-            self.sort_servers()
+            self.renew()
         self.place(request)
 
     def place(self, request: Request) -> None:
@@ -169,7 +143,8 @@
         server, found = self.draw(request) if in_time else (None, [])
         short = server is None and in_time and self.may_send(request)
         self.short_us = self.now_us if short else self.short_us
-        if server is not None and self.asks and server not in self.cold and len(self.asking) < len(self.warm):
+        if (server is not None and self.asks and server.shelf is self.fleet.warm
+                and len(self.asking) < len(self.fleet.warm)):
             self.ask(request, found[:ASKED])
         elif server is not None:
             self.send(request, server)
@@ -188,6 +163,8 @@
         against what a sidecar of little traffic cannot know: crowded, slow or hung upstreams."""
         request.asking = few
         self.asking[request.event.request] = request
+        for server in few:
+            server.askers[request.event.request] = None
         self.wake(self.now_us + self.fresh_us, "ask", request.event.request)
         self.choose(request)
 
@@ -202,7 +179,7 @@
             if self.crowd(server) < 1.0:
                 break
         few = [s for s in request.asking if self.open_slots(s) > 0 and self.in_group(request, s)]
-        del self.asking[request.event.request]
+        self.stop_asking(request)
         told = [s for s in few if self.now_us - s.told_us <= self.fresh_us]  # old news refuses nothing
         one = min(told or few, default=None,
                   key=lambda s: self.crowd(s) + few.index(s) * self.settings.warm_keys)
@@ -214,6 +191,11 @@
         else:
             self.send(request, one)
 
+    def stop_asking(self, request: Request) -> None:
+        self.asking.pop(request.event.request, None)
+        for server in request.asking:
+            server.askers.pop(request.event.request, None)
+
     def crowd(self, server: Server) -> float:
         held = 5.0 if server.crowd is None else server.crowd  # those not known come after those known free
         return held / server.size + (self.home not in (-1, server.entry.zone))
@@ -254,28 +236,24 @@
     def close(self, request: Request) -> None:
         request.done = True
         self.buffer = None if self.buffer is request else self.buffer
-        self.asking.pop(request.event.request, None)
+        self.stop_asking(request)
         if not request.out():
             self.requests.pop(request.event.request, None)
 
     def open_slots(self, server: Server) -> int:
-        """How many more sends an upstream may have now; the one place where health lives."""
-        if server.entry.state is not api.UpstreamState.READY:
-            return 0  # rule 3: draining and gone upstreams get nothing from the moment we are told
-        free = server.slots.free(self.now_us)
-        return free if self.warmth(server) >= 1.0 else min(free, 1 - server.slots.used)
+        return self.fleet.open_slots(server, self.now_us)
 
     def judge(self, attempt: Attempt, outcome: api.Outcome, elapsed_us: int, class_index: int) -> None:
         """How an attempt's end opens or closes its upstream's slots, and those of all together."""
         server, slow_us = attempt.server, self.half_aim_us(class_index)
-        slots, part = server.slots, MOST_AT_FIRST / self.settings.instances
+        slots, part = server.slots, MOST_AT_FIRST / self.sharing
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
         load = min(2.0, elapsed_us / slow_us) if outcome is api.Outcome.OK else 2.0
         needed = attempt.sent_us <= self.short_us + int(4 * slow_us * min(1.0, part))
         if outcome in (api.Outcome.OK, api.Outcome.FULL) and slots.window >= 0.5:
             # hazard: small sidecars crowd the fleet, each too seldom at one upstream to learn it; silence is
             # no sign of a crowd: it may be lost answers, and it holds its slot long enough
-            floor = min(1.0, part / 4 * len(self.warm))
+            floor = min(1.0, part / 4 * len(self.fleet.warm))
             self.total.follow(load, needed, floor, max(1.0, self.total.window))
         if outcome is not api.Outcome.NOT_SENT:
             server.failing += (float(outcome is not api.Outcome.OK) - server.failing) / 16
@@ -294,6 +272,10 @@
         busy_us = max(min(self.answer_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
         slots.rest(self.now_us, busy_us, self.random.random())
         self.total.rest(self.now_us, busy_us, self.random.random())
+        self.fleet.touch(server, self.now_us)
+        if self.subset.on and self.troubled(server) and server.entry.id not in self.subset.suspects:
+            self.subset.suspect(server.entry.id, self.now_us)
+            self.select_soon = True
         rests = slots.window < slots.first / (1 if server.resting else 4)
         if rests != server.resting and self.now_us >= self.next_log_us:  # else told later, if it lasts
             self.next_log_us, server.resting = self.now_us + GAP_US, rests
@@ -302,87 +284,165 @@
     def ill(self, server: Server) -> bool:
         """Held against the one in the middle: what fails alike everywhere is no upstream's fault, and by the
         mean half of them could fail unnoticed."""
-        return bool(self.warm) and server.failing > ILL + 2 * self.failing_at(2)
-
-    def failing_at(self, part: int) -> float:
-        """The failed share that one in `part` of the warm upstreams stays within."""
-        return sorted(one.failing for one in self.warm)[(len(self.warm) - 1) // part] if self.warm else 0.0
-
-    def warmth(self, server: Server) -> float:
-        """Rule 4: the share of its capacity that an upstream surely has by now."""
-        s, age_us = self.settings, self.now_us - server.entry.started_us
-        if server.entry.started_us == 0 or age_us >= s.warm_up_us:
-            return 1.0
-        return s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
+        return len(self.fleet.warm) > 0 and server.failing > ILL + 2 * self.fleet.failing_at(2)
 
     def draw(self, request: Request) -> tuple[Server | None, list[Server]]:
-        """A random free slot for this request, and the first few that it is of; if possible of one not yet
-        tried, and of an idle one of this zone (when busy it spills over before it queues)."""
+        """A random free slot for this request, and, where load is asked for, the first few that it could be
+        of; if possible of one not yet tried, and of an idle one of this zone (when busy it spills over before
+        it queues)."""
         if not self.may_send(request) or (not self.asks and self.total.free(self.now_us) <= 0):
             return None, []
-        found = self.free_slots(request)
-        if self.random.random() >= ANYWAY:
-            # hazard: where a few do well, to draw the others alike loses what those could have served; when
-            # single failures are chance it crowds some a little
-            found = [s for s in found if s.failing <= ILL / 2 + self.failing_at(4)] or found
-        best = [s for s in found if s.entry.zone == self.home and s.slots.used == 0] or found
-        sizes = [s.size * self.open_slots(s) if self.settings.instances <= FEW else 1.0 for s in best]
-        chosen = self.random.choices(best, sizes)[0] if best else None
-        return (self.cold_turn(request, chosen) if self.cold else chosen), found
-
-    def free_slots(self, request: Request) -> list[Server]:
-        """The first few upstreams in order that have a free slot; those tried only if there are no others."""
+        fleet, warm = self.fleet, self.fleet.warm
+        blind = self.random.random() < ANYWAY
+        # hazard: where a few do well, to draw the others alike loses what those could have served; when
+        # single failures are chance it crowds some a little
+        most = math.inf if blind else ILL / 2 + fleet.failing_at(4)
         tried = [attempt.server for attempt in request.attempts]
+        # the first few in order that have a free slot, those tried among them
+        enough = math.ceil(max(FEW * len(warm) / self.sharing, ASKED * self.asks) + len(tried))
+        group, ordered = self.group_of(request), self.order(request)
         found: list[Server] = []
-        enough = max(FEW * len(self.warm) / self.settings.instances, ASKED * self.asks) + len(tried)
-        for server in self.order(request):
-            if self.open_slots(server) > 0 and self.in_group(request, server):
+        if group is not None or ordered is not None:
+            chosen, found = self.draw_listed(request, group if group is not None else ordered or [],
+                                             enough, tried, most)
+        else:
+            chosen = warm.draw(self.random, enough, tried, most)
+            if chosen is None and tried:
+                tried = []
+                chosen = warm.draw(self.random, enough, tried, most)
+            if self.asks:
+                found = (fleet.first_open(enough, tried, most, ASKED)
+                         or fleet.first_open(enough, tried, math.inf, ASKED))
+        return (self.cold_turn(request, chosen, group) if len(fleet.cold) else chosen), found
+
+    def draw_listed(self, request: Request, ordered: Iterable[Server], enough: int, tried: list[Server],
+                    most: float) -> tuple[Server | None, list[Server]]:
+        """The same draw from few upstreams, or where each key has an order of its own."""
+        found: list[Server] = []
+        for server in ordered:
+            if (self.fleet.warmth(server, self.now_us) >= 1.0 and self.open_slots(server) > 0
+                    and self.in_group(request, server)):
                 found.append(server)
                 if len(found) >= enough:
                     break
-        return [server for server in found if server not in tried] or found
+        found = [server for server in found if server not in tried] or found
+        found = [server for server in found if server.failing <= most] or found
+        best = [s for s in found if s.entry.zone == self.home and s.slots.used == 0] or found
+        sizes = [s.size * self.open_slots(s) if self.fleet.few else 1.0 for s in best]
+        return self.random.choices(best, sizes)[0] if best else None, found
 
-    def order(self, request: Request) -> list[Server]:
-        """This sidecar's own; where upstreams remember keys, the key's own, alike in all sidecars. Hazard:
-        at connection limits it opens too many, so after failed connects the own few are kept to."""
+    def group_of(self, request: Request) -> list[Server] | None:
+        """Rule 2: the upstreams that keyed work which may have run is kept to, in order; None = any."""
+        first, kind = request.first_that_may_have_run(), request.kind
+        if first is None or kind.effect != "deduplicated" or kind.group == "all":
+            return None
+        if kind.group == "zone":
+            group = [one for one in self.fleet.warm.items() if one.entry.zone == first.entry.zone]
+        else:
+            # hazard: a subset holds few of a cell; with those alone the work would fail for want of a place
+            group = [self.servers.get(ident) or self.new_server(self.entries[ident])
+                     for ident in self.cells.get(first.entry.cell, ())]
+        return sorted(group, key=lambda server: (self.fleet.key(server), server.entry.id))
+
+    def order(self, request: Request) -> list[Server] | None:
+        """This sidecar's own, told by None; where upstreams remember keys, the key's own, alike in all
+        sidecars. Hazard: at connection limits it opens too many, so after failed connects the own few are
+        kept to."""
         key = request.event.key
         if not self.settings.warm_keys or key == 0 or self.shut > 0.2:
-            return self.warm
+            return None
 
         def far(server: Server) -> float:  # by chance, the same for all; large and near ones come sooner
             chance = (((key ^ server.entry.id * MIXER) * MIXER >> 24) % 2**40 + 1) / 2**40
             return -float(chance ** (1.0 / (server.size * (4 if server.entry.zone == self.home else 1))))
 
-        return sorted(self.warm, key=far)
+        return sorted(self.fleet.warm.items(), key=far)
 
-    def cold_turn(self, request: Request, warm: Server | None) -> Server | None:
+    def cold_turn(self, request: Request, warm: Server | None, group: list[Server] | None) -> Server | None:
         """Rule 4: of the sends that warm ones have room for (none warm: of arrivals) a cold one gets its
         share of capacity, by a quarter of the multiple. Hazard: in a shortage all would fall on it,
         by hundreds of sidecars."""
-        if warm is None and self.warm:
+        fleet = self.fleet
+        if warm is None and len(fleet.warm):
             # one out from each of a few sidecars can't choke it, unless it fails at once
-            few = [s for s in self.cold if s.failing <= ILL / 2] if self.settings.instances <= FEW else []
-            open_now = [s for s in few if self.open_slots(s) > 0 and self.in_group(request, s)]
+            if self.sharing > FEW:
+                return None
+            if group is None:
+                return fleet.cold.any_open(self.random, ILL / 2)
+            open_now = [s for s in group if s.shelf is fleet.cold and s.failing <= ILL / 2
+                        and self.open_slots(s) > 0]
             return self.random.choice(open_now) if open_now else None
-        shares = [server.size * self.warmth(server) for server in self.cold]
-        rest = sum(server.size for server in self.warm or self.cold)
-        turn = self.random.random() * (rest + sum(shares)) / min(1.0, self.settings.overload_factor / 4)
-        for server, share in zip(self.cold, shares, strict=True):
-            turn -= share
-            if turn < 0.0:
-                return server if self.open_slots(server) > 0 and self.in_group(request, server) else warm
-        return warm
-
-    def sort_servers(self) -> None:
-        """Who is cold, and who is warm in this sidecar's own order: by chance, size, zone and open slots."""
+        shares = fleet.cold_shares(self.now_us)
+        rest = fleet.warm_size if len(fleet.warm) else fleet.cold_size
+        if self.random.random() * (rest + shares) / min(1.0, self.settings.overload_factor / 4) >= shares:
+            return warm
+        server = fleet.cold_by_share(self.random, self.now_us)
+        return server if server and self.open_slots(server) > 0 and self.in_group(request, server) else warm
+
+    def renew(self) -> None:
+        """Who is cold, and who is warm in this sidecar's own order; how many are used and slots are open."""
         self.sort_us = self.now_us + GAP_US
-        ready = [s for s in self.servers.values() if s.entry.state is api.UpstreamState.READY]
-        self.cold = [s for s in ready if self.warmth(s) < 1.0]
-        self.warm = sorted([s for s in ready if self.warmth(s) >= 1.0], key=lambda s: (
-            s.order / min(1.0, s.slots.window) / s.size / (2 if s.entry.zone == self.home else 1)))
-        first = max(LEAST_IN_ALL, MOST_AT_FIRST / self.settings.instances * len(self.warm))
+        self.fleet.renew(self.now_us)
+        busiest, self.busiest = self.busiest, self.total.used
+        if self.subset.on and self.subset.resize(self.now_us, busiest):
+            self.select()
+        warm = len(self.fleet.warm)
+        first = max(LEAST_IN_ALL, MOST_AT_FIRST / self.sharing * warm)
         self.total.window, self.total.first = self.total.window * first / self.total.first, first
 
+    def select(self) -> None:
+        """Renew the subset: who joins it and who leaves it."""
+        self.select_soon = False
+        joined, left = self.subset.select(self.now_us, self.usable)
+        for ident in left:
+            server = self.servers.get(ident)
+            if server is not None:
+                self.fleet.remove(server)
+                self.release(server)
+                self.actions.append(api.CloseIdle(ident))
+        for ident in joined:
+            self.use(self.entries[ident])
+        self.sharing = self.subset.sharing()
+        self.fleet.count_slots(self.sharing <= FEW, self.now_us)
+
+    def usable(self, ident: int) -> bool:
+        entry, server = self.entries[ident], self.servers.get(ident)
+        s = self.settings
+        is_warm = entry.started_us == 0 or self.now_us - entry.started_us >= s.warm_up_us
+        return is_warm and (server is None or not self.troubled(server))
+
+    def troubled(self, server: Server) -> bool:
+        return server.failing >= SUSPECT or server.slots.window < 0.25
+
+    def new_server(self, entry: api.Upstream) -> Server:
+        # hazard: after a restart beside one other, all that came meanwhile comes at once; where all start
+        # together it crowds a little, till slow answers close the second slots
+        opening = 2.0 if 4 * self.settings.instances <= MOST_AT_FIRST else 1.0
+        server = Server(entry, self.random.expovariate(1.0), opening)
+        self.learn(server, entry)
+        return server
+
+    def learn(self, server: Server, entry: api.Upstream) -> None:
+        if entry.started_us != server.entry.started_us:  # what its last process did says nothing now
+            server.failing, server.slots.window, server.slots.rest_until_us = 0.0, 1.0, 0
+        server.entry = entry
+        server.size = entry.weight if self.settings.weighted and entry.weight > 0.0 else server.size
+
+    def use(self, entry: api.Upstream) -> None:
+        """An upstream that this sidecar uses is listed, or has changed."""
+        server = self.servers.get(entry.id)
+        if server is None:
+            server = self.new_server(entry)
+        else:
+            self.learn(server, entry)
+        self.fleet.place(server, self.now_us)
+
+    def release(self, server: Server) -> None:
+        """Hazard: upstreams are replaced all day, by new ids. What is out to one is waited for."""
+        unlisted = server.entry.state is api.UpstreamState.GONE
+        if not server.slots.used and (unlisted or server.seat is None and self.subset.on):
+            self.fleet.forget(server)
+
     def may_send(self, request: Request) -> bool:
         """Rules 1 and 2 as far as they don't depend on the upstream."""
         first, kind = request.first_that_may_have_run(), request.kind
@@ -406,8 +466,11 @@
             self.finish(request)
             return
         request.attempts.append(Attempt(server, self.now_us))
+        self.servers.setdefault(server.entry.id, server)
         server.slots.used += 1
         self.total.used += 1
+        self.busiest = max(self.busiest, self.total.used)
+        self.fleet.touch(server, self.now_us)
         server.crowd = None if server.crowd is None else server.crowd + 1.0
         left_us, usual_us = request.until_us - self.now_us, self.usual_us(request)
         may_follow = request.kind.effect != "at_most_once"
@@ -453,6 +516,8 @@
     def free(self, attempt: Attempt) -> None:
         attempt.server.slots.used -= 1
         self.total.used -= 1
+        self.fleet.touch(attempt.server, self.now_us)
+        self.release(attempt.server)
 
     def on_attempt_ended(self, event: api.AttemptEnded) -> None:
         request = self.requests.get(event.request)
@@ -485,22 +550,45 @@
             return
         if event.kind is not api.ListKind.CACHED:  # answered
             self.list_failures = self.ask_list_us = 0
-        listed = {entry.id for entry in event.upstreams}
-        # hazard: after a restart beside one other, all that came meanwhile comes at once; where all start
-        # together it crowds a little, till slow answers close the second slots
-        opening = 2.0 if 4 * self.settings.instances <= MOST_AT_FIRST else 1.0
+        was_on = self.subset.on
         for entry in event.upstreams:
-            server = self.servers.setdefault(entry.id, Server(entry, self.random.expovariate(1.0), opening))
-            if entry.started_us != server.entry.started_us:  # what its last process did says nothing now
-                server.failing, server.slots.window, server.slots.rest_until_us = 0.0, 1.0, 0
-            server.entry = entry
-            server.size = entry.weight if self.settings.weighted and entry.weight > 0.0 else server.size
-        for server in list(self.servers.values()):
-            if event.kind is not api.ListKind.DELTA and server.entry.id not in listed:
-                server.entry = replace(server.entry, state=api.UpstreamState.GONE)
-            if server.entry.state is api.UpstreamState.GONE and not server.slots.used:  # late ends find it
-                del self.servers[server.entry.id]  # hazard: upstreams are replaced all day, by new ids
-        self.sort_servers()
+            self.on_entry(entry)
+        if event.kind is not api.ListKind.DELTA:
+            listed = {entry.id for entry in event.upstreams}
+            for entry in [entry for ident, entry in self.entries.items() if ident not in listed]:
+                self.on_entry(replace(entry, state=api.UpstreamState.GONE))
+        if self.subset.on or was_on:
+            self.select()
+        self.renew()
+
+    def on_entry(self, entry: api.Upstream) -> None:
+        """One entry of the list. Work for this one alone, however many there are."""
+        before, server = self.entries.pop(entry.id, None), self.servers.get(entry.id)
+        ready = entry.state is api.UpstreamState.READY
+        if self.by_cell and before is not None:
+            cell = self.cells.get(before.cell, {})
+            cell.pop(entry.id, None)
+            if not cell:
+                self.cells.pop(before.cell, None)
+        if self.by_cell and ready:
+            self.cells.setdefault(entry.cell, {})[entry.id] = None
+        if entry.state is not api.UpstreamState.GONE:
+            self.entries[entry.id] = entry
+        if ready:
+            self.subset.add(entry.id, entry.zone)
+        else:
+            self.subset.remove(entry.id)
+        member = not self.subset.on or entry.id in self.subset.members
+        if member and entry.state is not api.UpstreamState.GONE:
+            self.subset.members[entry.id] = None
+            self.use(entry)
+        elif server is not None:
+            self.learn(server, entry)
+            if server.seat is not None:
+                self.fleet.place(server, self.now_us)
+            self.release(server)
+        if not ready:
+            self.subset.members.pop(entry.id, None)
 
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
@@ -513,8 +601,8 @@
     def arm(self) -> None:
         times = [self.wakeups[0][0]] if self.wakeups else []
         if self.buffer is not None:  # a resting slot opens by time, not by an event
-            rests = [self.total, *[server.slots for server in self.servers.values()]]
-            times += [slots.rest_until_us for slots in rests if slots.rest_until_us > self.now_us]
+            rests = (self.total.rest_until_us, self.fleet.next_rest_us())
+            times += [until_us for until_us in rests if until_us > self.now_us]
         if times and (self.armed_us == 0 or min(times) < self.armed_us):
             self.armed_us = min(times)
             self.actions.append(api.SetTimer(self.armed_us, 0))
--- /dev/null
+++ b/wickspread/fleet.py
@@ -0,0 +1,252 @@
+"""The index of the fleet: what one sidecar knows of each upstream, and who of them may have a send now.
+
+No I/O and no clock but the time handed in. Every change of an upstream is told by `touch`, in O(log n); after
+it the shelves agree with what a plain scan of all upstreams would find (tests/test_fleet.py).
+"""
+
+import heapq
+import random
+from itertools import islice
+
+from wickspread import interface as api
+from wickspread.shelf import Seat, Shelf, Sorted
+
+GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
+FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
+MOST_SLOTS = 8  # times the first slots, however quick the answers
+FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
+COLD_TRIES = 64
+
+
+class Slots:
+    """Outstanding sends to one upstream, or to all of them together."""
+
+    __slots__ = ("used", "first", "window", "rest_until_us")
+
+    def __init__(self, window: float) -> None:
+        self.used = 0
+        self.first = window
+        self.window = window  # how many are open while all is well; below 1 the one slot rests between sends
+        self.rest_until_us = 0
+
+    def free(self, now_us: int) -> int:
+        return (int(self.window) if self.window >= 1.0 else int(now_us >= self.rest_until_us)) - self.used
+
+    def follow(self, load: float, needed: bool, floor: float, ways: float) -> None:
+        step = GROWTH * (FULL_LOAD - load) / max(self.window, 1.0)
+        if step < 0.0:
+            # hazard: after an outage all would rest for long, and where all are slow it only refuses more
+            self.window = max(self.window * (1.0 + step), min(self.window, floor))
+        elif self.window < self.first or needed:
+            # hazard: slots opened without need, by many sidecars above all, choke bursts
+            self.window = min(self.window + min(self.window, step * ways), MOST_SLOTS * self.first)
+
+    def rest(self, now_us: int, busy_us: float, chance: float) -> None:
+        if self.window < 1.0:
+            self.rest_until_us = now_us + int(busy_us * (1.0 / self.window - 1.0) * (0.5 + chance))
+
+
+class Server:  # what this sidecar knows of one upstream
+    __slots__ = ("entry", "order", "slots", "crowd", "told_us", "size", "resting", "failing", "answer_us",
+                 "answered_us", "doubts", "askers", "seat", "shelf", "ranked", "counted", "noted_us")
+
+    def __init__(self, entry: api.Upstream, order: float, opening: float) -> None:
+        self.entry = entry
+        self.order = order  # this sidecar's own, at random
+        self.slots = Slots(1.0)  # one slot, as in the paper
+        self.slots.window = opening
+        self.crowd: float | None = None  # requests it holds by its last report; None = it told none
+        self.told_us = 0  # when it last reported, or left a probe unanswered
+        self.size = 1.0  # its weight, where weights speak of size
+        self.resting = False  # as last logged
+        self.failing = 0.0  # share of its last 16 attempts or so that failed
+        self.answer_us = 0.0  # its answers, smoothed
+        self.answered_us = 0  # when the last sent of the attempts that it has answered was sent
+        self.doubts = 0  # attempts presumed lost since it last answered
+        self.askers: dict[int, None] = {}  # requests that wait to hear its load, in their order
+        # kept by Fleet alone:
+        self.seat: Seat[Server] | None = None
+        self.shelf: Shelf[Server] | None = None
+        self.ranked = 0.0  # the failing share under which it is ranked
+        self.counted = (0.0, 0)  # its size, and its start since the index began, as summed
+        self.noted_us = 0  # the rest that is in the heap
+
+
+class Fleet:
+    """The upstreams that this sidecar uses, on a shelf of the warm and one of the cold."""
+
+    def __init__(self, settings: api.Settings, home: int, now_us: int) -> None:
+        self.settings = settings
+        self.home = home  # the zone that is near; -1 = none
+        self.few = settings.instances <= FEW  # draws go by size and open slots
+        self.base_us = now_us  # starts are summed from here, lest sums of Unix times lose digits
+        self.servers: dict[int, Server] = {}  # those that have something out, though not used any more, too
+        self.warm: Shelf[Server] = Shelf()  # in this sidecar's own order
+        self.cold: Shelf[Server] = Shelf()
+        self.failing: Sorted[float] = Sorted()  # shares of the warm
+        self.warm_size = self.cold_size = self.cold_start = 0.0
+        self.moved: dict[int, None] = {}  # whose place in the order is renewed next
+        self.rests: list[tuple[int, int]] = []  # a heap: until when, who
+        self.warming: list[tuple[int, int]] = []  # a heap: from when warm, who
+
+    def warmth(self, server: Server, now_us: int) -> float:
+        """Rule 4: the share of its capacity that an upstream surely has by now."""
+        s, age_us = self.settings, now_us - server.entry.started_us
+        if server.entry.started_us == 0 or age_us >= s.warm_up_us:
+            return 1.0
+        return s.cold_share + (1.0 - s.cold_share) * max(0, age_us) / s.warm_up_us
+
+    def open_slots(self, server: Server, now_us: int) -> int:
+        """How many more sends an upstream may have now; the one place where health lives."""
+        if server.entry.state is not api.UpstreamState.READY:
+            return 0  # rule 3: draining and gone upstreams get nothing from the moment we are told
+        free = server.slots.free(now_us)
+        return free if self.warmth(server, now_us) >= 1.0 else min(free, 1 - server.slots.used)
+
+    def failing_at(self, part: int) -> float:
+        """The failed share that one in `part` of the warm upstreams stays within."""
+        return self.failing.at((len(self.failing) - 1) // part) if len(self.failing) else 0.0
+
+    def key(self, server: Server) -> float:
+        """The place in this sidecar's own order: by chance, size, zone and open slots."""
+        near = 2 if server.entry.zone == self.home else 1
+        return server.order / min(1.0, server.slots.window) / server.size / near
+
+    # Changes
+
+    def place(self, server: Server, now_us: int) -> None:
+        """Put a server on the shelf that it belongs to now: its entry, size or start may have changed."""
+        self.servers[server.entry.id] = server
+        ready = server.entry.state is api.UpstreamState.READY
+        is_warm = self.warmth(server, now_us) >= 1.0
+        shelf = (self.warm if is_warm else self.cold) if ready else None
+        if server.seat is not None:
+            same = server.shelf is shelf and server.counted == self.sums_of(server)
+            if same and server.seat.key[0] == self.key(server):
+                self.touch(server, now_us)
+                return
+            self.remove(server)
+        if shelf is None:
+            return
+        server.shelf = shelf
+        server.seat = shelf.put(server, self.key(server), server.entry.id)
+        server.counted = self.sums_of(server)
+        if is_warm:
+            server.ranked = server.failing
+            self.failing.add(server.ranked)
+            self.warm_size += server.size
+        else:
+            self.cold_size += server.size
+            self.cold_start += server.size * server.counted[1]
+            until_us = server.entry.started_us + self.settings.warm_up_us
+            heapq.heappush(self.warming, (until_us, server.entry.id))
+        self.touch(server, now_us)
+
+    def sums_of(self, server: Server) -> tuple[float, int]:
+        return server.size, server.entry.started_us - self.base_us
+
+    def remove(self, server: Server) -> None:
+        """Off its shelf; what is out to it goes on."""
+        if server.seat is None:
+            return
+        size, start_us = server.counted
+        if server.shelf is self.warm:
+            self.failing.remove(server.ranked)
+            self.warm_size = self.warm_size - size if len(self.warm) > 1 else 0.0
+            self.warm.drop(server.seat)
+        else:
+            last = len(self.cold) == 1
+            self.cold_size = 0.0 if last else self.cold_size - size
+            self.cold_start = 0.0 if last else self.cold_start - size * start_us
+            self.cold.drop(server.seat)
+        server.seat = server.shelf = None
+
+    def forget(self, server: Server) -> None:
+        self.remove(server)
+        if self.servers.get(server.entry.id) is server:
+            del self.servers[server.entry.id]
+            self.moved.pop(server.entry.id, None)
+
+    def touch(self, server: Server, now_us: int) -> None:
+        """Its slots or its failing share have changed."""
+        seat, slots = server.seat, server.slots
+        if seat is None:
+            return
+        open_now = self.open_slots(server, now_us)
+        if slots.window < 1.0 and slots.rest_until_us > now_us and slots.rest_until_us != server.noted_us:
+            server.noted_us = slots.rest_until_us
+            heapq.heappush(self.rests, (slots.rest_until_us, server.entry.id))
+        if server.shelf is self.cold:
+            self.cold.refresh(seat, int(open_now > 0), server.size, 0.0, server.failing)
+            return
+        mass = 0.0 if open_now <= 0 else server.size * open_now if self.few else 1.0
+        near = mass if server.entry.zone == self.home and slots.used == 0 else 0.0
+        if server.failing != server.ranked:
+            self.failing.remove(server.ranked)
+            self.failing.add(server.failing)
+            server.ranked = server.failing
+        self.warm.refresh(seat, int(open_now > 0), mass, near, server.failing)
+        if seat.key[0] != self.key(server):
+            self.moved[server.entry.id] = None
+
+    def settle(self, now_us: int) -> None:
+        """Slots whose rest is over are open again."""
+        while self.rests and self.rests[0][0] <= now_us:
+            server = self.servers.get(heapq.heappop(self.rests)[1])
+            if server is not None:
+                self.touch(server, now_us)
+
+    def next_rest_us(self) -> int:
+        """When the next slot that rests opens; 0 = none rests."""
+        while self.rests:
+            until_us, ident = self.rests[0]
+            server = self.servers.get(ident)
+            if server is not None and server.seat is not None and server.slots.window < 1.0 and (
+                    server.slots.rest_until_us == until_us):
+                return until_us
+            heapq.heappop(self.rests)
+        return 0
+
+    def renew(self, now_us: int) -> None:
+        """Bring the order up to date, and who has warmed up: for those alone that have changed."""
+        while self.warming and self.warming[0][0] <= now_us:
+            server = self.servers.get(heapq.heappop(self.warming)[1])
+            if server is not None and server.seat is not None:
+                self.place(server, now_us)
+        moved, self.moved = self.moved, {}
+        for ident in moved:
+            server = self.servers.get(ident)
+            if server is not None and server.seat is not None:
+                self.place(server, now_us)
+
+    def count_slots(self, few: bool, now_us: int) -> None:
+        """Whether draws go by size and open slots; all weights are renewed where that changes."""
+        if few is not self.few:
+            self.few = few
+            for server in list(self.servers.values()):
+                self.touch(server, now_us)
+
+    # Questions
+
+    def first_open(self, first: int, barred: list[Server], most: float, wanted: int) -> list[Server]:
+        """Of the first open ones some few that fail at most so much, in order."""
+        return list(islice((seat.item for seat in self.warm.walk(first, most) if seat.item not in barred),
+                           wanted))
+
+    def cold_shares(self, now_us: int) -> float:
+        """Size times warmth of all that are cold, in one step: each grows alike with time."""
+        s = self.settings
+        if not len(self.cold):
+            return 0.0
+        ages = (now_us - self.base_us) * self.cold_size - self.cold_start
+        shares = s.cold_share * self.cold_size + (1.0 - s.cold_share) * ages / max(1, s.warm_up_us)
+        return min(self.cold_size, max(s.cold_share * self.cold_size, shares))
+
+    def cold_by_share(self, dice: random.Random, now_us: int) -> Server | None:
+        """One of the cold by size times warmth: drawn by size, taken by warmth. None if chance takes none of
+        many, which is the careful side."""
+        for _ in range(COLD_TRIES):
+            seat = self.cold.weighted(dice.random() * self.cold.root.total, near=False)
+            if seat is not None and dice.random() < self.warmth(seat.item, now_us):
+                return seat.item
+        return None
--- a/wickspread/interface.py
+++ b/wickspread/interface.py
@@ -123,6 +123,7 @@
     kinds: list[str] = field(default_factory=list)
     idle_us: int = 0  # an upstream closes a connection that has stood idle for this long; 0 = never
     probe_timeout_us: int = 250_000
+    most_upstreams: int = 0  # upstreams that one sidecar may use together, of a larger fleet; 0 = any number
 
     def __post_init__(self) -> None:
         _require(len(self.classes) > 0, "at least one request class", self.classes)
@@ -133,7 +134,8 @@
         _require(0 < self.cold_share <= 1, "a cold_share above 0, at most 1", self.cold_share)
         _require(self.overload_factor > 0, "an overload_factor above 0", self.overload_factor)
         for name in ("zone", "tick_us", "max_retry_after_us", "connect_timeout_us", "ask_within_us",
-                     "warm_up_us", "fall_us", "cross_zone_fee", "idle_us", "probe_timeout_us"):
+                     "warm_up_us", "fall_us", "cross_zone_fee", "idle_us", "probe_timeout_us",
+                     "most_upstreams"):
             _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
 
 
