Lists of 10,000 are read in steps, and a change of one entry is work for one

Need: a whole list held the loop for its whole reading; each change and each heartbeat went through all hosts, names and idle connections; a fetch answered late with an older version undid a drain told since. Change: listing.py reads an object in steps of 128 entries and tells a large list as changes, those that leave first; what comes meanwhile waits behind it. An older version is passed over, but for a watch begun anew. Of a name listed twice the more careful entry holds.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,9 +12,9 @@
 from tests.sockets import LONG_S, Discovery, Message, Sidecar, Upstream, answer, eventually
 from tests.world import settings
 from wickspread import interface as api
-from wickspread.sidecar.discovery import Directory
 from wickspread.sidecar.discovery import Discovery as Watcher
 from wickspread.sidecar.engine import Clock, Engine
+from wickspread.sidecar.listing import Directory
 from wickspread.sidecar.upstream import Exchange, Pool
 
 
@@ -164,7 +164,7 @@
         for number in range(50):
             tell(f"s-{number}", "in_service")
             tell(f"s-{number}", "terminated")
-        kept = (directory.numbers, directory.taken, pool.hosts, engine.balancer.servers)
+        kept = (directory.numbers, directory.names, pool.hosts, engine.balancer.servers)
         assert [len(one) for one in kept] == [0, 0, 0, 0]
         # while something is out to it, it is kept: its end must find it
         ident = tell("s-busy", "in_service")
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -7,13 +7,15 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 
 import uvloop
 
 from wickspread import interface as api
 from wickspread.sidecar import config as configuration
-from wickspread.sidecar.discovery import Directory, Discovery, ListError
+from wickspread.sidecar.discovery import Discovery
 from wickspread.sidecar.engine import Clock, Engine
+from wickspread.sidecar.listing import Directory, ListError
 from wickspread.sidecar.server import Server
 from wickspread.sidecar.upstream import Pool
 
@@ -27,6 +29,7 @@
     directory = Directory(settings)
     version, _, known = directory.read(config.known)
     share = max(1, (config.sockets - OWN_DESCRIPTORS) // 2)
+    settings = replace(settings, most_upstreams=share)  # of a fleet larger than that a part is used
     pool = Pool(settings.connect_timeout_us / 1e6 or 1.0, settings.idle_us / 1e6, share)
     discovery = Discovery(config.discovery, directory, version, pushed=not settings.list_on_request)
     engine = Engine(settings, config.seed, clock, pool, discovery)
--- a/wickspread/sidecar/discovery.py
+++ b/wickspread/sidecar/discovery.py
@@ -1,20 +1,19 @@
-"""The list of upstreams: its JSON to typed entries, and the calls that ask for it and watch it."""
+"""The calls that ask for the list of upstreams and watch it; large lists are read a little at a time."""
 
 from __future__ import annotations
 
 import asyncio
-import hashlib
-import json
 import logging
-import math
 import sys
-from collections.abc import Container
-from typing import Any, Protocol, cast
+from collections import deque
+from collections.abc import Iterable, Iterator
+from typing import Protocol, cast
 
 import httptools
 
 from wickspread import interface as api
-from wickspread.sidecar.config import Address, ConfigError, parse_address
+from wickspread.sidecar.config import Address
+from wickspread.sidecar.listing import SLICE, Directory, ListError, Reading, changes
 from wickspread.sidecar.upstream import MAX_HEAD, Host
 
 log = logging.getLogger("wickspread")
@@ -23,79 +22,15 @@
 # Two heartbeats of 2 s and a little. Hazard: what a dead watch does not tell counts as told after 6 s.
 SILENCE_S = 4.5
 MAX_LINE = 4 * 1024 * 1024
+STEP_S = 0.003  # a large list holds the loop for about so long before others have their turn
 RETRY_S = 0.25  # where lists are pushed, the agent is on this machine and costs nothing to ask
 
-STATES = {"in_service": api.UpstreamState.READY, "terminating": api.UpstreamState.DRAINING,
-          "terminated": api.UpstreamState.GONE}
-
-
-class ListError(Exception):
-    """What discovery sent can't be used."""
-
-
-class Directory:
-    """Names to the numbers that the decisions use, the same for the process's life."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.zones = {name: number for number, name in enumerate(settings.zones)}
-        self.kinds = {name: number for number, name in enumerate(settings.kinds)}
-        self.numbers: dict[str, int] = {}
-        self.taken: set[int] = set()
-
-    def number(self, name: str) -> int:
-        """By a digest: alike in all sidecars, as in the simulator, and not by order of arrival."""
-        number = self.numbers.get(name)
-        if number is None:
-            number = int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest(), "little")
-            while number in self.taken:
-                number = (number + 1) & 0xFFFFFFFF
-            self.taken.add(number)
-            self.numbers[name] = number
-        return number
-
-    def keep(self, numbers: Container[int]) -> None:
-        """Forget the names of all others: upstreams are replaced all day, by new ones under new names."""
-        self.numbers = {name: number for name, number in self.numbers.items() if number in numbers}
-        self.taken = set(self.numbers.values())
-
-    def read(self, told: Any) -> tuple[int, bool, list[Host]]:
-        """The version, whether it is the whole list, and the entries. Nothing is kept of a bad one."""
-        try:
-            if not isinstance(told["hosts"], list) or not isinstance(told["whole"], bool):
-                raise ListError("'hosts' is not a list or 'whole' is not true or false")
-            return int(told["seq"]), told["whole"], [self.entry(one) for one in told["hosts"]]
-        except KeyError as error:
-            raise ListError(f"{error} is missing") from error
-        except (TypeError, ValueError, AttributeError, OverflowError, ConfigError) as error:
-            raise ListError(str(error)) from error
-
-    def entry(self, told: dict[str, Any]) -> Host:
-        name, state = told["host"], STATES.get(told["health"])
-        if not isinstance(name, str) or not name:
-            raise ListError(f"a host named {name!r}")
-        if state is None:
-            raise ListError(f"{name}: unknown health {told['health']!r}")
-        weight, born_ms, cell = float(told.get("share", 1.0)), int(told.get("born_ms", 0)), int(told["block"])
-        if not math.isfinite(weight) or born_ms < 0:
-            raise ListError(f"{name}: share {weight}, born_ms {born_ms}")
-        gone = state is api.UpstreamState.GONE
-        return Host(
-            api.Upstream(
-                self.number(name), state,
-                self.zones.setdefault(str(told["site"]).replace(" ", "_"), len(self.zones)),
-                self.kinds.setdefault(str(told.get("class", "")).replace(" ", "_"), len(self.kinds)),
-                cell, weight, born_ms * 1000,  # our clock counts from Unix time
-            ),
-            ("", 0) if gone else parse_address(told["dial"]),
-        )
-
-
 class Sink(Protocol):
     def list_changed(self, kind: api.ListKind, hosts: list[Host], version: int) -> None: ...
 
     def list_failed(self) -> None: ...
 
-    def known(self) -> Container[int]: ...
+    def known(self) -> dict[int, Host]: ...
 
 
 class Discovery:
@@ -112,6 +47,12 @@
         self.wanted = pushed  # a watch is asked for
         self.closed = False
         self.calls: set[Call] = set()
+        self.jobs: deque[tuple[Call | None, bytes]] = deque()  # what was told and is not read yet
+        self.job: tuple[Call | None, bytes] = None, b""
+        self.steps: Iterator[None] | None = None  # of the one that is being read
+        self.working = False
+        self.leaving: dict[int, None] = {}  # gone, and something is out to it
+        self.next_complaint = 0.0
         self.loop = asyncio.get_running_loop()
         if pushed:
             self.loop.call_soon(self.subscribe, True)
@@ -141,19 +82,100 @@
     def fetch(self) -> None:
         Call(self, b"")
 
-    def told(self, text: bytes) -> None:
-        """One JSON object of discovery's, or an empty line that only says the watch is alive."""
-        version, whole = self.version, False
+    def told(self, text: bytes, call: Call | None = None) -> None:
+        """One JSON object of discovery's, or an empty line that only says the watch is alive. What is told
+        while a large list is being read waits behind it, so that the order stays."""
+        self.jobs.append((call, text))
+        if not self.working:
+            self.work()
+
+    def work(self) -> None:
+        """Read on, for no longer than a step."""
+        end = self.loop.time() + STEP_S
+        self.working = True
+        while not self.closed and (self.steps is not None or self.jobs):
+            if self.steps is None:
+                self.job = self.jobs.popleft()
+                self.steps = self.take(*self.job)
+            call = self.job[0]
+            try:
+                next(self.steps)
+            except StopIteration:
+                self.steps = None
+                if call is not None:
+                    call.read_on()
+            except ListError as error:
+                self.steps = None
+                if call is None:
+                    self.working = False
+                    raise
+                call.fail(f"bad list: {error}")
+            except Exception:
+                # hazard: a fault in one list must not end the reading of all later ones
+                self.steps = None
+                log.exception("a list could not be taken")
+                if call is not None:
+                    call.fail("a list could not be taken")
+            if self.steps is not None and self.loop.time() >= end:
+                self.loop.call_soon(self.work)
+                return
+        self.working = False
+
+    def take(self, call: Call | None, text: bytes) -> Iterator[None]:
+        """Read one object whole, then tell what it says: nothing is told of a bad one."""
         hosts: list[Host] = []
+        version, whole = self.version, False
+        if call is not None and call.over:
+            return
         if text:
             try:
-                version, whole, hosts = self.directory.read(json.loads(text))
-            except (ValueError, RecursionError) as error:
+                reading = Reading(self.directory, text.decode())
+            except UnicodeDecodeError as error:
                 raise ListError(str(error)) from error
-        self.version = version
-        if self.sink is not None:
+            yield from reading.steps()
+            version, whole, hosts = reading.version, reading.whole, reading.hosts
+            # hazard: a fetch may be answered with what was so before the watch told more; its drains would
+            # be forgotten. A new watch that begins with less has been begun anew by discovery itself.
+            if version < self.version and not (whole and call is not None and call.fresh):
+                self.complain(f"what is told of version {version} is older than {self.version}: passed over")
+                version, whole, hosts = self.version, False, []
+        if call is not None:
+            if call.over:
+                return  # moved elsewhere meanwhile
+            call.fresh = False
+        if self.sink is None:
+            self.version = version
+            return
+        known = self.sink.known()
+        if max(len(hosts), len(known) if whole else 0) <= SLICE:
             self.sink.list_changed(api.ListKind.FULL if whole else api.ListKind.DELTA, hosts, version)
-            self.directory.keep(self.sink.known())
+        else:
+            # one whole list would hold the loop for long; told as changes it is the same
+            for part in changes(dict(known) if whole else known, hosts, whole):
+                if part:
+                    self.sink.list_changed(api.ListKind.DELTA, part, version)
+                yield
+            self.sink.list_changed(api.ListKind.DELTA, [], version)
+        self.version = version
+        self.forget(self.directory.names if whole else [host.entry.id for host in hosts])
+
+    def forget(self, numbers: Iterable[int]) -> None:
+        """Names of those that are gone go once nothing is out to them."""
+        assert self.sink is not None
+        known = self.sink.known()
+        self.leaving.update(dict.fromkeys(
+            one for one in numbers if one not in known or known[one].entry.state is api.UpstreamState.GONE))
+        for number in list(self.leaving):
+            if number not in known:
+                self.directory.forget(number)
+                del self.leaving[number]
+            elif known[number].entry.state is not api.UpstreamState.GONE:
+                del self.leaving[number]
+
+    def complain(self, text: str) -> None:
+        if self.loop.time() >= self.next_complaint:
+            self.next_complaint = self.loop.time() + 1.0
+            log.warning("discovery: %s", text)
 
     def failed(self, call: Call) -> None:
         if call is self.watch:
@@ -177,6 +199,9 @@
         self.query = query
         self.watching = bool(query)
         self.answered = self.over = False
+        self.fresh = self.watching  # a watch that has told nothing yet
+        self.waiting = False  # what it has told is not read yet
+        self.ended = False  # a fetch is whole
         self.transport: asyncio.Transport | None = None
         self.text = bytearray()
         self.head = MAX_HEAD  # bytes that it may still take
@@ -202,10 +227,7 @@
     def data_received(self, data: bytes) -> None:
         if self.over:
             return
-        # hazard: where lists are pushed the agent is silent while discovery is down, which is no failure
-        self.silence.cancel()
-        if not (self.owner.pushed and self.watching):
-            self.silence = self.owner.loop.call_later(SILENCE_S, self.fail, "silence")
+        self.listen()
         self.head -= len(data)
         try:
             self.parser.feed_data(data)
@@ -225,29 +247,53 @@
         self.text += body
         if len(self.text) > MAX_LINE:
             self.fail("a line too long")
+        self.lines()
+
+    def lines(self) -> None:
         # hazard: chunks and lines need not end together
-        while self.watching and not self.over and (end := self.text.find(b"\n")) >= 0:
+        while self.watching and not self.over and not self.waiting and (end := self.text.find(b"\n")) >= 0:
             line = bytes(self.text[:end]).strip()
             del self.text[:end + 1]
             if line or not self.answered:
                 self.tell(line)
 
     def tell(self, text: bytes) -> None:
-        try:
-            self.answered = True
-            self.owner.told(text)
-        except ListError as error:
-            self.fail(f"bad list: {error}")
+        """Hazard: a peer that tells faster than we read is not read from meanwhile."""
+        self.answered = self.waiting = True
+        self.silence.cancel()
+        self.owner.told(text, self)
+        if self.waiting and self.transport is not None and not self.over:
+            self.transport.pause_reading()
+
+    def read_on(self) -> None:
+        """What was told is read."""
+        self.waiting = False
+        if self.over:
+            return
+        if self.ended:
+            self.close()
+            return
+        if self.transport is not None:
+            self.transport.resume_reading()
+        self.listen()
+        self.owner.loop.call_soon(self.lines)
+
+    def listen(self) -> None:
+        """Hazard: where lists are pushed the agent is silent while discovery is down, which is no failure."""
+        self.silence.cancel()
+        if not (self.owner.pushed and self.watching):
+            self.silence = self.owner.loop.call_later(SILENCE_S, self.fail, "silence")
 
     def on_message_complete(self) -> None:
         if not self.watching and not self.over:
+            self.ended = True
             self.tell(bytes(self.text).strip())
-            self.close()
         else:
             self.fail("the watch has ended")
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.fail(str(error or "closed"))
+        if not self.ended:
+            self.fail(str(error or "closed"))
 
     def fail(self, why: str) -> None:
         if not self.over:
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -10,7 +10,7 @@
 import logging
 import time
 from collections import deque
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -114,7 +114,7 @@
     def list_failed(self) -> None:
         self.tell(api.UpstreamsUpdated(api.ListKind.FAILED))
 
-    def known(self) -> Container[int]:
+    def known(self) -> dict[int, Host]:
         return self.pool.hosts
 
     # Events and actions
--- /dev/null
+++ b/wickspread/sidecar/listing.py
@@ -0,0 +1,225 @@
+"""The list of upstreams as discovery words it: JSON to typed entries, a little at a time.
+
+Pure: text in, entries out. A whole list of 10,000 is some 1.6 MB; read at once it would hold the loop for
+over 100 ms, so `Reading` goes on in steps, and `changes` cuts what is new into slices.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import math
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
+from typing import Any
+
+from wickspread import interface as api
+from wickspread.sidecar.config import ConfigError, parse_address
+from wickspread.sidecar.upstream import Host
+
+SLICE = 128  # entries that are read, or told to the decisions, in one go
+MOST_HOSTS = 50_000  # entries of one list
+
+STATES = {"in_service": api.UpstreamState.READY, "terminating": api.UpstreamState.DRAINING,
+          "terminated": api.UpstreamState.GONE}
+# A name listed twice has the state of the more careful entry. Hazard: to refuse such a list would leave a
+# drain that it tells unheard.
+CARE = {api.UpstreamState.READY: 0, api.UpstreamState.DRAINING: 1, api.UpstreamState.GONE: 2}
+DECODER = json.JSONDecoder()
+SPACE = " \t\r\n"
+
+
+class ListError(Exception):
+    """What discovery sent can't be used."""
+
+
+class Directory:
+    """Names to the numbers that the decisions use, the same for the process's life."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.zones = {name: number for number, name in enumerate(settings.zones)}
+        self.kinds = {name: number for number, name in enumerate(settings.kinds)}
+        self.numbers: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+
+    def number(self, name: str) -> int:
+        """By a digest: alike in all sidecars, as in the simulator, and not by order of arrival."""
+        number = self.numbers.get(name)
+        if number is None:
+            number = int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest(), "little")
+            while number in self.names:
+                number = (number + 1) & 0xFFFFFFFF
+            self.names[number] = name
+            self.numbers[name] = number
+        return number
+
+    def forget(self, number: int) -> None:
+        """Upstreams are replaced all day, by new ones under new names."""
+        name = self.names.pop(number, None)
+        if name is not None:
+            del self.numbers[name]
+
+    def read(self, told: Any) -> tuple[int, bool, list[Host]]:
+        """The version, whether it is the whole list, and the entries, in one go."""
+        reading = Reading(self, json.dumps(told))
+        for _ in reading.steps():
+            pass
+        return reading.version, reading.whole, reading.hosts
+
+    def entry(self, told: dict[str, Any], fresh: list[int]) -> Host:
+        """One entry; a number that is given for it is added to `fresh`."""
+        name, state = told["host"], STATES.get(told["health"])
+        if not isinstance(name, str) or not name:
+            raise ListError(f"a host named {name!r}")
+        if state is None:
+            raise ListError(f"{name}: unknown health {told['health']!r}")
+        weight, born_ms, cell = float(told.get("share", 1.0)), int(told.get("born_ms", 0)), int(told["block"])
+        if not math.isfinite(weight) or born_ms < 0:
+            raise ListError(f"{name}: share {weight}, born_ms {born_ms}")
+        gone = state is api.UpstreamState.GONE
+        dial = ("", 0) if gone else parse_address(told["dial"])
+        known = name in self.numbers
+        number = self.number(name)
+        if not known:
+            fresh.append(number)
+        return Host(
+            api.Upstream(
+                number, state,
+                self.zones.setdefault(str(told["site"]).replace(" ", "_"), len(self.zones)),
+                self.kinds.setdefault(str(told.get("class", "")).replace(" ", "_"), len(self.kinds)),
+                cell, weight, born_ms * 1000,  # our clock counts from Unix time
+            ),
+            dial,
+        )
+
+
+class Reading:
+    """One JSON object of discovery's, read in steps. Nothing is kept of one that is bad: its new names are
+    forgotten again."""
+
+    def __init__(self, directory: Directory, text: str) -> None:
+        self.directory = directory
+        self.text = text
+        self.at = 0
+        self.version = 0
+        self.whole = False
+        self.hosts: list[Host] = []
+        self.places: dict[int, int] = {}  # of each number in `hosts`
+        self.found: set[str] = set()  # keys
+        self.fresh: list[int] = []  # numbers given for new names
+
+    def steps(self) -> Iterator[None]:
+        """Read on with each step; the fields are whole when it ends. Raises ListError."""
+        try:
+            yield from self.read()
+        except Exception as error:
+            for number in self.fresh:
+                self.directory.forget(number)
+            if isinstance(error, ListError):
+                raise
+            if isinstance(error, KeyError):
+                raise ListError(f"{error} is missing") from error
+            if isinstance(error, TypeError | ValueError | AttributeError | OverflowError | RecursionError
+                          | ConfigError):
+                raise ListError(" ".join(str(error).split())[:200]) from error
+            raise
+
+    def read(self) -> Iterator[None]:
+        self.expect("{")
+        while self.peek() != "}":
+            key, self.at = DECODER.raw_decode(self.text, self.at)
+            if not isinstance(key, str) or key in self.found:
+                raise ListError(f"the key {key!r}")
+            self.found.add(key)
+            self.expect(":")
+            if key == "hosts" and self.peek() == "[":
+                yield from self.read_hosts()
+            else:
+                self.peek()
+                value, self.at = DECODER.raw_decode(self.text, self.at)
+                self.field(key, value)
+            if self.peek() == ",":
+                self.at += 1
+                if self.peek() == "}":
+                    raise ListError("a comma before the end")
+            elif self.peek() != "}":
+                raise ListError(f"byte {self.at}: expected a comma or the end")
+        self.at += 1
+        if self.peek():
+            raise ListError("more behind the list")
+        for wanted in ("hosts", "whole", "seq"):
+            if wanted not in self.found:
+                raise KeyError(wanted)
+
+    def field(self, key: str, value: object) -> None:
+        if key == "hosts":
+            raise ListError("'hosts' is not a list")
+        if key == "whole":
+            if not isinstance(value, bool):
+                raise ListError("'whole' is not true or false")
+            self.whole = value
+        elif key == "seq":
+            if isinstance(value, bool) or not isinstance(value, int):
+                raise ListError(f"'seq' is not a whole number: {str(value)[:40]!r}")
+            self.version = value
+
+    def read_hosts(self) -> Iterator[None]:
+        self.expect("[")
+        count = 0
+        while self.peek() != "]":
+            told, self.at = DECODER.raw_decode(self.text, self.at)
+            self.add(self.directory.entry(told, self.fresh))
+            count += 1
+            if count > MOST_HOSTS:
+                raise ListError(f"over {MOST_HOSTS} hosts")
+            if count % SLICE == 0:
+                yield
+            if self.peek() == ",":
+                self.at += 1
+                if self.peek() == "]":
+                    raise ListError("a comma before the end of 'hosts'")
+            elif self.peek() != "]":
+                raise ListError(f"byte {self.at}: expected a comma or the end of 'hosts'")
+        self.at += 1
+
+    def add(self, host: Host) -> None:
+        place = self.places.setdefault(host.entry.id, len(self.hosts))
+        if place == len(self.hosts):
+            self.hosts.append(host)
+        elif CARE[host.entry.state] >= CARE[self.hosts[place].entry.state]:
+            self.hosts[place] = host
+
+    def peek(self) -> str:
+        """The next character that is no space; empty at the end."""
+        while self.at < len(self.text) and self.text[self.at] in SPACE:
+            self.at += 1
+        return self.text[self.at:self.at + 1]
+
+    def expect(self, mark: str) -> None:
+        if self.peek() != mark:
+            raise ListError(f"byte {self.at}: expected {mark!r}, got {self.text[self.at:self.at + 20]!r}")
+        self.at += 1
+
+
+def changes(known: dict[int, Host], told: list[Host], whole: bool) -> Iterator[list[Host]]:
+    """What a large list says anew, in slices: who is not to be used any more comes first (rule 3). An empty
+    slice only ends a step."""
+    listed = {host.entry.id for host in told}
+    leaving: list[Host] = []
+    others: list[Host] = []
+    for number, host in enumerate(told, 1):
+        old = known.get(host.entry.id)
+        if old is None or old.entry != host.entry or old.dial != host.dial:
+            (others if host.entry.state is api.UpstreamState.READY else leaving).append(host)
+        if number % (8 * SLICE) == 0:
+            yield []
+    if whole:
+        leaving += [Host(replace(host.entry, state=api.UpstreamState.GONE), ("", 0))
+                    for ident, host in known.items()
+                    if ident not in listed and host.entry.state is not api.UpstreamState.GONE]
+    yield from cut(leaving)
+    yield from cut(others)
+
+
+def cut(hosts: list[Host]) -> Iterable[list[Host]]:
+    return (hosts[at:at + SLICE] for at in range(0, len(hosts), SLICE))
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import select
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import cast
@@ -88,7 +89,7 @@
 
     entry: api.Upstream
     dial: Address
-    idle: list[Connection] = field(default_factory=list)  # the last one was used most recently
+    idle: dict[Connection, None] = field(default_factory=dict)  # the last one was used most recently
     heard: float = 0.0  # loop time of the last byte from it
     generation: int = 0  # counts its restarts
     open: int = 0  # connections, those being made among them
@@ -97,7 +98,7 @@
         return self.entry.state is api.UpstreamState.READY
 
     def close_idle(self) -> None:
-        for connection in self.idle[:]:
+        for connection in list(self.idle):
             connection.close()
 
 
@@ -238,22 +239,25 @@
             self.close()
             return
         self.idle_since = self.loop.time()
-        host.idle.append(self)
+        host.idle[self] = self.pool.idle[self] = None
 
     def release(self) -> None:
         """The exchange ends before its answer is whole: closing gives the attempt up."""
         self.exchange = None
         self.close()
 
+    def leave(self) -> None:
+        """Out of the pool, if it is there."""
+        self.host.idle.pop(self, None)
+        self.pool.idle.pop(self, None)
+
     def close(self) -> None:
-        if self in self.host.idle:
-            self.host.idle.remove(self)
+        self.leave()
         if self.transport is not None:
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        if self in self.host.idle:
-            self.host.idle.remove(self)
+        self.leave()
         self.pool.closed(self.host)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
@@ -272,6 +276,8 @@
         self.most = most
         self.open = 0  # connections, those being made among them
         self.hosts: dict[int, Host] = {}
+        # all that are idle, the one that has been so for longest first; a plain dict would search its head
+        self.idle: OrderedDict[Connection, None] = OrderedDict()
         self.dials: set[asyncio.Task[None]] = set()
         self.next_complaint = 0.0
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
@@ -279,10 +285,11 @@
     def update(self, hosts: list[Host], whole: bool) -> None:
         if whole:
             listed = {host.entry.id for host in hosts}
-            for ident, host in self.hosts.items():
+            for ident, host in list(self.hosts.items()):
                 if ident not in listed:
                     host.entry = replace(host.entry, state=api.UpstreamState.GONE)
                     host.close_idle()
+                    self.forget(host)
         for new in hosts:
             old = self.hosts.setdefault(new.entry.id, new)
             if (old.dial, old.entry.started_us) != (new.dial, new.entry.started_us):
@@ -292,8 +299,7 @@
             old.entry, old.dial = new.entry, new.dial
             if not old.wanted():
                 old.close_idle()
-        for host in list(self.hosts.values()):
-            self.forget(host)
+            self.forget(old)
 
     def closed(self, host: Host) -> None:
         self.open -= 1
@@ -313,9 +319,9 @@
             return
         exchange.timer = self.loop.call_later(timeout_s, exchange.expire)
         while host.idle:
-            connection = host.idle[-1]
+            connection = next(reversed(host.idle))
             if connection.usable():
-                host.idle.pop()
+                connection.leave()
                 connection.begin(exchange)
                 return
             connection.close()
@@ -355,10 +361,9 @@
 
     def evict(self) -> bool:
         """At the limit the connection that has been idle for longest makes room."""
-        idle = [host.idle[0] for host in self.hosts.values() if host.idle]
-        if not idle:
+        if not self.idle:
             return False
-        min(idle, key=lambda connection: connection.idle_since).close()
+        next(iter(self.idle)).close()
         return True
 
     def close_idle(self, upstream: int) -> None:
@@ -367,9 +372,8 @@
 
     def sweep(self) -> None:
         oldest = self.loop.time() - self.idle_s
-        for host in self.hosts.values():
-            while host.idle and host.idle[0].idle_since <= oldest:
-                host.idle[0].close()
+        while self.idle and (first := next(iter(self.idle))).idle_since <= oldest:
+            first.close()
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
 
     def complain(self, text: str) -> None:
@@ -382,5 +386,5 @@
         self.sweep_timer.cancel()
         for task in self.dials:
             task.cancel()
-        for host in self.hosts.values():
-            host.close_idle()
+        for connection in list(self.idle):
+            connection.close()
