--- /dev/null
+++ b/wickspread/lab/nodes.py
@@ -0,0 +1,182 @@
+"""Stand-in nodes: each an address on 127.0.0.0/8 with a machine behind it, and the faults it can have."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from wickspread.lab.capacity import Capacity, Machine
+from wickspread.lab.http1 import Request, ServerPeer
+from wickspread.lab.ledger import Fell, Ledger, Ran, Received, Started, now_us
+
+MOST_NODES = 60_000
+DECLINED = b"Srv-Declined: 1\r\n"
+FALLEN_S = 6.0  # a node that fell is started anew after this
+
+
+def address_of(number: int) -> str:
+    """An address of its own for each node, beside the usual 127.0.0.1."""
+    return f"127.{1 + number // 62_500}.{number // 250 % 250}.{1 + number % 250}"
+
+
+@dataclass(slots=True)
+class Trouble:
+    """What is wrong with a node now; all at rest by default."""
+
+    silent: bool = False  # takes everything and says nothing, as a machine that has vanished
+    errors: float = 0.0  # share answered 500 at once
+    lost: float = 0.0  # share whose answer never comes
+    reset: float = 0.0  # share whose connection breaks after the answer's headers
+    half: float = 0.0  # share whose answer ends in the middle of its body
+    slow: float = 1.0  # times as long
+
+
+class NodePeer(ServerPeer):
+    def __init__(self, node: Node) -> None:
+        super().__init__()
+        self.node = node
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.node.accepted += 1
+        self.node.peers.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.node.peers.discard(self)
+
+    def on_request(self, request: Request) -> None:
+        self.node.receive(self, request)
+
+
+class Node:
+    """One node: its listener, its machine, its entry in the roster."""
+
+    def __init__(self, number: int, ledger: Ledger, machine: Machine, seed: int, site: str, cell: int,
+                 keep_records: bool = True) -> None:
+        self.number = number
+        self.name = f"node-{number}"
+        self.ledger = ledger
+        self.machine = machine
+        self.seed = seed
+        self.site = site
+        self.cell = cell
+        self.keep_records = keep_records
+        self.dice = random.Random(seed)
+        self.trouble = Trouble()
+        self.health = "in_service"
+        self.peers: set[NodePeer] = set()
+        self.accepted = self.received = self.served = 0
+        self.port = 0
+        self.born_ms = 0
+        self.incarnation = 0
+        self.jobs = 0
+        self.open: dict[str, tuple[NodePeer, Request, int]] = {}  # job: whose, what, in which incarnation
+        self.server: asyncio.Server | None = None
+        self.capacity = Capacity(machine, seed, now_us(), warm=True)
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: NodePeer(self), address_of(self.number), self.port,
+                                               backlog=64, reuse_address=True)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    @property
+    def address(self) -> str:
+        return f"{address_of(self.number)}:{self.port}"
+
+    def entry(self) -> dict[str, Any]:
+        """Its entry in the roster."""
+        return {"host": self.name, "dial": self.address, "site": self.site, "class": "lab",
+                "block": self.cell, "health": self.health, "share": 1.0, "born_ms": self.born_ms}
+
+    def stop(self) -> None:
+        """The process dies: connections are reset, new ones refused, what it had is lost."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for peer in list(self.peers):
+            peer.abort()
+        self.open.clear()
+        self.incarnation += 1
+
+    async def restart(self) -> None:
+        """A new process under the same name, and cold."""
+        self.stop()
+        await self.start()
+        self.born_ms = time.time_ns() // 1_000_000
+        self.health = "in_service"
+        at_us = now_us()
+        self.capacity = Capacity(self.machine, self.seed + self.incarnation, at_us, warm=False)
+        self.capacity.slow = self.trouble.slow
+        self.record(Started(at_us, self.name, self.machine.cores, self.machine.cold_share,
+                            self.machine.warm_up_us))
+
+    def record(self, record: Received | Ran | Started | Fell) -> None:
+        if self.keep_records:
+            self.ledger.add(record)
+
+    def receive(self, peer: NodePeer, request: Request) -> None:
+        if request.target.startswith((b"/health", b"/status")):
+            peer.answer(b"200 OK")
+            return
+        ident = request.headers.get(b"req-id", b"").decode("latin-1")
+        self.received += 1
+        work_us = self.capacity.draw_work()
+        self.jobs += 1
+        job = f"{ident} {self.jobs}"
+        failing = self.dice.random() < self.trouble.errors
+        was_up = not self.capacity.fallen
+        taken = self.trouble.silent or failing or self.capacity.offer(request.last_us, job, work_us)
+        self.record(Received(request.last_us, request.first_us, ident, self.name, self.cell, taken, work_us))
+        if self.capacity.fallen and was_up:
+            self.record(Fell(request.last_us, self.name))
+            self.stop()
+            asyncio.get_running_loop().call_later(FALLEN_S, self.recover)
+        elif failing:
+            peer.answer(b"500 Internal Server Error")
+        elif not taken:
+            peer.answer(b"503 Service Unavailable", head=DECLINED)
+        elif not self.trouble.silent:
+            self.open[job] = peer, request, self.incarnation
+            self.go_on()
+
+    def recover(self) -> None:
+        if self.server is None:
+            self.restarting = asyncio.get_running_loop().create_task(self.restart())
+
+    def go_on(self) -> None:
+        loop = asyncio.get_running_loop()
+        for job, time_us in self.capacity.begin(now_us()):
+            if job in self.open:
+                ident = job.partition(" ")[0]
+                self.record(Ran(now_us(), ident, self.name))
+                loop.call_later(time_us / 1e6, self.finish, job, self.capacity)
+
+    def finish(self, job: str, capacity: Capacity) -> None:
+        if not capacity.end(job) or capacity is not self.capacity or job not in self.open:
+            return  # of a process that has died meanwhile
+        peer, request, _ = self.open.pop(job)
+        self.served += 1
+        chance, trouble = self.dice.random(), self.trouble
+        body = b"%s ran at %s" % (request.headers.get(b"req-id", b""), self.name.encode())
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        if trouble.silent or chance < trouble.lost:
+            pass
+        elif chance < trouble.lost + trouble.reset:
+            self.part(peer, whole[:whole.index(b"\r\n\r\n") + 4])
+        elif chance < trouble.lost + trouble.reset + trouble.half:
+            self.part(peer, whole[:-len(body) // 2])
+        else:
+            peer.answer(b"200 OK", body)
+        self.go_on()
+
+    def part(self, peer: NodePeer, data: bytes) -> None:
+        if peer.transport is not None and not peer.transport.is_closing():
+            peer.transport.write(data)
+            peer.transport.close()
+
+    def set_slow(self, times: float) -> None:
+        self.trouble.slow = self.capacity.slow = times
--- /dev/null
+++ b/wickspread/lab/scene.py
@@ -0,0 +1,225 @@
+"""A whole installation on one machine: nodes, roster, real sidecars, clients, faults; and what came of it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from collections import deque
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from wickspread.lab.capacity import Machine
+from wickspread.lab.checker import Bounds, Breach, Kind, check
+from wickspread.lab.clients import Crowd, Load, Manners
+from wickspread.lab.ledger import Ledger
+from wickspread.lab.nodes import Node
+from wickspread.lab.roster import Roster
+from wickspread.lab.script import Fault, Player
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+START_S = 20.0
+STOP_S = 6.0
+CELL = 6  # nodes of one cell
+LOADS = [Load("chapter-buy", "at_most_once", 0.6, 1.2), Load("coin-topup", "deduplicated", 0.3, 4.0),
+         Load("read", "idempotent", 0.1, 1.0)]
+
+
+class SceneError(Exception):
+    """The scene could not be set up; one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """What is to be played. Everything by chance comes from `seed`."""
+
+    nodes: int = 12
+    sidecars: int = 1
+    instances: int = 0  # as the sidecars are told; 0 = as many as there are
+    rate: float = 150.0  # requests a second, all sidecars together
+    seconds: float = 30.0
+    most: int = 1_000_000  # requests of one sidecar
+    seed: int = 1
+    sites: tuple[str, ...] = ("makati", "pasig")
+    sockets: int = 1024
+    machine: Machine = field(default_factory=Machine)
+    manners: Manners = field(default_factory=Manners)
+    loads: tuple[Load, ...] = tuple(LOADS)
+    faults: tuple[Fault, ...] = ()
+    keep_nodes: bool = True  # record what nodes see; off for long measurements
+
+
+def settings(plan: Plan, index: int) -> dict[str, Any]:
+    """The settings of a sidecar's configuration, in the names of the simulator."""
+    classes = []
+    for load in plan.loads:
+        keyed = load.effect == "deduplicated"
+        classes.append({
+            "name": load.kind, "aim": str(int(load.deadline_s * 333_000)),
+            "deadline": str(int(load.deadline_s * 1e6)), "worth": "1.0", "late-worth": "0.3",
+            "effect": load.effect, "group": "cell" if keyed else "all",
+            "memory-span": "8000000" if keyed else "0", "stream": "false", "aim-stretch": "0"})
+    machine = plan.machine
+    return {
+        "areas": list(plan.sites), "kinds": ["lab"], "instances": str(plan.instances or plan.sidecars),
+        "self-index": str(index), "locality": str(index % len(plan.sites)), "granularity": "1000",
+        "registry-mode": "on_request", "request-classes": classes, "weights": "none",
+        "report": {"how": "none", "names": ""}, "fees": {"cross-zone": "0.02"},
+        "bounds": {"cancel": "true", "probes": "false", "retry-after": "true", "second-copies": "true",
+                   "peers": "false", "most-tries": "4", "dial-timeout": "200000", "conn-idle": "5000000",
+                   "max-retry-after": "2000000"},
+        "invariants": {"ask-within": "10000000", "cold-share": str(machine.cold_share),
+                       "warm-up": str(machine.warm_up_us), "overload-factor": str(machine.multiple),
+                       "fall": str(machine.fall_us)},
+    }
+
+
+def bounds(plan: Plan) -> Bounds:
+    """The figures of the rules for the checker."""
+    kinds = {load.kind: Kind(load.effect, "cell" if load.effect == "deduplicated" else "all",
+                             8_000_000 if load.effect == "deduplicated" else 0) for load in plan.loads}
+    machine = plan.machine
+    return Bounds(kinds, multiple=machine.multiple, fall_us=machine.fall_us, burst_us=machine.burst_us)
+
+
+class SidecarProcess:
+    """One real sidecar, as the deploy file's `run` starts it."""
+
+    def __init__(self, name: str, config: dict[str, Any], folder: str) -> None:
+        self.name = name
+        self.config = config
+        self.path = Path(folder) / f"{name}.json"
+        self.lines: deque[str] = deque(maxlen=500)
+        self.address = ("", 0)
+        self.process: asyncio.subprocess.Process | None = None
+        self.reader: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        self.path.write_text(json.dumps(self.config))
+        env = {name: value for name, value in os.environ.items()
+               if not name.startswith(("PYTHON", "VIRTUAL_ENV", "PROXY_"))}
+        env |= {"PROXY_NAME": self.name, "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(self.path),
+                "PROXY_DISCOVERY": self.config["discovery"]}
+        # a session of its own: Ctrl-C is ours to pass on, once what is out has been answered
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-B", "-m", "wickspread.sidecar", cwd=ROOT, env=env,
+            stdin=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, start_new_session=True)
+        self.up = asyncio.get_running_loop().create_future()
+        self.reader = asyncio.get_running_loop().create_task(self.read())
+        try:
+            async with asyncio.timeout(START_S):
+                self.address = await self.up
+        except TimeoutError as error:
+            raise SceneError(f"{self.name} did not start in {START_S:.0f} s") from error
+
+    async def read(self) -> None:
+        assert self.process is not None and self.process.stderr is not None
+        async for raw in self.process.stderr:
+            line = raw.decode("utf-8", "replace").rstrip()
+            self.lines.append(line)
+            if " listens on " in line and not self.up.done():
+                host, _, port = line.split()[-1].partition(":")
+                self.up.set_result((host, int(port)))
+        if not self.up.done():
+            said = self.lines[-1] if self.lines else "nothing"
+            self.up.set_exception(SceneError(f"{self.name} ended at its start; it said: {said}"))
+
+    def usage(self) -> tuple[float, int, int]:
+        """CPU seconds so far, resident bytes, open descriptors."""
+        assert self.process is not None
+        at = Path(f"/proc/{self.process.pid}")
+        parts = (at / "stat").read_text().rpartition(")")[2].split()
+        ticks = os.sysconf("SC_CLK_TCK")
+        resident = int((at / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+        return (int(parts[11]) + int(parts[12])) / ticks, resident, len(os.listdir(at / "fd"))
+
+    async def stop(self) -> int | None:
+        """The planned stop; killed where that takes too long."""
+        process = self.process
+        if process is None:
+            return None
+        if process.returncode is None:
+            process.terminate()
+            try:
+                async with asyncio.timeout(STOP_S):
+                    await process.wait()
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+        if self.reader is not None:
+            await self.reader
+        return process.returncode
+
+
+class Scene:
+    """Everything of one plan, started; `async with` ends all of it whatever happens."""
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.ledger = Ledger()
+        self.nodes = [Node(n, self.ledger, plan.machine, plan.seed * 1_000_003 + n,
+                           plan.sites[n % len(plan.sites)], n // CELL, plan.keep_nodes)
+                      for n in range(plan.nodes)]
+        self.sidecars: list[SidecarProcess] = []
+        self.crowds: list[Crowd] = []
+        self.roster: Roster | None = None
+        self.player: Player | None = None
+        self.folder = tempfile.TemporaryDirectory(prefix="wickspread-lab-")
+
+    async def __aenter__(self) -> Scene:
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def start(self) -> None:
+        plan = self.plan
+        for node in self.nodes:
+            await node.start()
+        self.roster = Roster(self.ledger, [node.entry() for node in self.nodes])
+        for index in range(plan.sidecars):
+            name = f"sidecar-{index}"
+            config = {"discovery": await self.roster.serve(name), "seed": f"{plan.seed * 7919 + index:x}",
+                      "limits": {"sockets": plan.sockets}, "known": self.roster.known(),
+                      "settings": settings(plan, index)}
+            self.sidecars.append(SidecarProcess(name, config, self.folder.name))
+        await asyncio.gather(*[one.start() for one in self.sidecars])
+        for index, one in enumerate(self.sidecars):
+            self.crowds.append(Crowd(self.ledger, one.name, one.address, list(plan.loads), plan.manners,
+                                     plan.seed * 31 + index))
+        self.player = Player(list(plan.faults), self.nodes, self.roster, self.ledger, plan.seed)
+
+    async def play(self) -> None:
+        """The clients' requests and the faults; returns when all is answered."""
+        assert self.player is not None
+        self.player.play()
+        rate = self.plan.rate / len(self.crowds)
+        await asyncio.gather(*[crowd.play(rate, self.plan.seconds, self.plan.most) for crowd in self.crowds])
+        await asyncio.gather(*[crowd.finish() for crowd in self.crowds])
+
+    def verdict(self) -> list[Breach]:
+        """What the checker finds, and whatever a sidecar has confessed."""
+        found = check(self.ledger, bounds(self.plan))
+        for one in self.sidecars:
+            if any("Traceback" in line for line in one.lines):
+                found.append(Breach(1, 0, f"{one.name}: a fault in its log: {one.lines[-1]}"))
+            if one.process is not None and one.process.returncode not in (None, 0):
+                found.append(Breach(1, 0, f"{one.name} has ended with {one.process.returncode}"))
+        return found
+
+    async def __aexit__(self, *_: object) -> None:
+        if self.player is not None:
+            self.player.close()
+        for crowd in self.crowds:
+            crowd.close()
+        await asyncio.gather(*[one.stop() for one in self.sidecars])
+        if self.roster is not None:
+            self.roster.close()
+        for node in self.nodes:
+            node.stop()
+        self.folder.cleanup()
--- /dev/null
+++ b/wickspread/lab/script.py
@@ -0,0 +1,166 @@
+"""The script of faults: what goes wrong with whom, from when, how long. Read from TOML or made in code."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tomllib
+from dataclasses import dataclass, fields
+from typing import Any
+
+from wickspread.lab.ledger import Faulted, Ledger, now_us
+from wickspread.lab.nodes import Node
+from wickspread.lab.roster import Roster
+
+KINDS = ("silent", "slow", "errors", "lost", "reset", "half", "drain", "restart", "crash", "roster_down",
+         "roster_late")
+MOST_FAULTS = 1000
+
+
+class ScriptError(Exception):
+    """The script can't be used; one line naming the key."""
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """One thing that goes wrong."""
+
+    kind: str
+    at_s: float
+    for_s: float = 5.0  # then it is mended; a drained or crashed node comes back as a new process
+    nodes: float = 1.0  # 1 and more: so many; below 1: this share of all
+    size: float = 0.0  # slow: times as long; errors, lost, reset, half: share; roster_late: seconds
+    site: str = ""  # only nodes of this site
+
+    def __post_init__(self) -> None:
+        if self.kind not in KINDS:
+            raise ScriptError(f"kind: expected one of {', '.join(KINDS)}, got {self.kind!r}")
+        for name in ("at_s", "for_s", "nodes", "size"):
+            if not 0 <= getattr(self, name) <= 1e6:
+                raise ScriptError(f"{name}: expected 0 to 1000000, got {getattr(self, name)!r}")
+        if self.kind in ("errors", "lost", "reset", "half") and self.size > 1:
+            raise ScriptError(f"size: expected a share of 1 at most for {self.kind}, got {self.size!r}")
+
+
+def read(text: str) -> list[Fault]:
+    """The `[[fault]]` tables of a TOML file. Raises ScriptError."""
+    try:
+        told = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScriptError(f"not TOML: {error}") from error
+    for key in told:
+        if key != "fault":
+            raise ScriptError(f"{key}: unknown; expected [[fault]] tables")
+    tables = told.get("fault", [])
+    if not isinstance(tables, list) or len(tables) > MOST_FAULTS:
+        raise ScriptError(f"fault: expected at most {MOST_FAULTS} [[fault]] tables")
+    return [read_fault(table, number) for number, table in enumerate(tables, 1)]
+
+
+def read_fault(table: Any, number: int) -> Fault:
+    wanted = {field.name: str if field.type == "str" else float for field in fields(Fault)}
+    if not isinstance(table, dict):
+        raise ScriptError(f"fault {number}: expected a table")
+    values: dict[str, Any] = {}
+    for key, value in table.items():
+        if key not in wanted:
+            raise ScriptError(f"fault {number}: {key}: unknown key")
+        if wanted[key] is float and isinstance(value, int | float) and not isinstance(value, bool):
+            values[key] = float(value)
+        elif wanted[key] is str and isinstance(value, str):
+            values[key] = value
+        else:
+            raise ScriptError(f"fault {number}: {key}: expected a {wanted[key].__name__}, got {value!r}")
+    for key in ("kind", "at_s"):
+        if key not in values:
+            raise ScriptError(f"fault {number}: {key} is missing")
+    try:
+        return Fault(**values)
+    except ScriptError as error:
+        raise ScriptError(f"fault {number}: {error}") from error
+
+
+class Player:
+    """Does what the script says to the nodes and the roster."""
+
+    def __init__(self, faults: list[Fault], nodes: list[Node], roster: Roster, ledger: Ledger,
+                 seed: int) -> None:
+        self.faults = sorted(faults, key=lambda fault: fault.at_s)
+        self.nodes = nodes
+        self.roster = roster
+        self.ledger = ledger
+        self.dice = random.Random(seed)
+        self.now: dict[int, str] = {}  # what is wrong at present, for those who watch
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def play(self) -> None:
+        for number, fault in enumerate(self.faults):
+            task = asyncio.get_running_loop().create_task(self.run(number, fault))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    def choose(self, fault: Fault) -> list[Node]:
+        able = [node for node in self.nodes if node.server is not None and node.health == "in_service"
+                and fault.site in ("", node.site)]
+        count = round(fault.nodes if fault.nodes >= 1 else fault.nodes * len(able))
+        return self.dice.sample(able, min(len(able), max(1, count)))
+
+    async def run(self, number: int, fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        if fault.kind.startswith("roster"):
+            self.say(number, fault.kind.replace("_", " "))
+            self.of_roster(fault, True)
+            await asyncio.sleep(fault.for_s)
+            self.of_roster(fault, False)
+        else:
+            chosen = self.choose(fault)
+            names = ", ".join(node.name for node in chosen[:3]) + (" ..." if len(chosen) > 3 else "")
+            self.say(number, f"{fault.kind}: {names}" + (f" ({len(chosen)})" if len(chosen) > 3 else ""))
+            if fault.kind in ("drain", "restart", "crash"):
+                await self.replace(fault, chosen)
+            else:
+                self.spoil(fault, chosen, True)
+                await asyncio.sleep(fault.for_s)
+                self.spoil(fault, chosen, False)
+        self.say(number, "")
+
+    def say(self, number: int, text: str) -> None:
+        was = self.now.pop(number, "")
+        if text:
+            self.now[number] = text
+        self.ledger.add(Faulted(now_us(), text or f"over: {was}"))
+
+    def of_roster(self, fault: Fault, on: bool) -> None:
+        if fault.kind == "roster_down":
+            self.roster.down(on)
+        else:
+            self.roster.delay_s = fault.size if on else 0.0
+
+    def spoil(self, fault: Fault, chosen: list[Node], on: bool) -> None:
+        for node in chosen:
+            if fault.kind == "silent":
+                node.trouble.silent = on
+            elif fault.kind == "slow":
+                node.set_slow(max(1.0, fault.size or 5.0) if on else 1.0)
+            else:
+                setattr(node.trouble, fault.kind, (fault.size or 0.5) if on else 0.0)
+
+    async def replace(self, fault: Fault, chosen: list[Node]) -> None:
+        """A drain is told first, and the process ends later; a crash is told by nobody; all come back cold.
+        """
+        if fault.kind == "drain":
+            for node in chosen:
+                node.health = "terminating"
+            self.roster.change(*[node.entry() for node in chosen])
+            await asyncio.sleep(fault.for_s)
+        for node in chosen:
+            node.stop()
+        if fault.kind == "crash":
+            await asyncio.sleep(fault.for_s)
+        for node in chosen:
+            await node.restart()
+        self.roster.change(*[node.entry() for node in chosen])
