--- /dev/null
+++ b/tests/grpc/test_outcome.py
@@ -0,0 +1,135 @@
+"""What an attempt's end says of its effect, line by line of the table; statuses and time-outs on the wire."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from wickspread.grpc.deadline import MOST, DeadlineError, format_us, parse_us
+from wickspread.grpc.outcome import End, Ended, failed, judge, refused
+from wickspread.grpc.status import Code, decode_message, encode_message, parse
+from wickspread.interface import Outcome
+
+GRPC = b"application/grpc"
+NEVER_RAN = {Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT}
+
+
+def answered(http: int = 200, kind: bytes = GRPC, **trailers: str) -> Ended:
+    found = {name.replace("_", "-").encode(): value.encode() for name, value in trailers.items()}
+    return Ended(End.ANSWERED, True, http, kind, found)
+
+
+TABLE = [
+    (Ended(End.NO_CONNECTION), Outcome.CONNECT_FAILED, Code.UNAVAILABLE),
+    (Ended(End.CLOSED), Outcome.CONNECT_FAILED, Code.UNAVAILABLE),
+    (Ended(End.EXPIRED), Outcome.CONNECT_FAILED, Code.UNAVAILABLE),
+    (Ended(End.RESET, reset_code=0x2), Outcome.CONNECT_FAILED, Code.UNAVAILABLE),
+    (Ended(End.RESET, True, reset_code=0x7), Outcome.FULL, Code.UNAVAILABLE),
+    (Ended(End.GOAWAY, True), Outcome.FULL, Code.UNAVAILABLE),
+    (answered(grpc_status="14", srv_declined="1"), Outcome.FULL, Code.UNAVAILABLE),
+    (answered(503, b"text/plain", srv_declined="1"), Outcome.FULL, Code.UNAVAILABLE),
+    (answered(grpc_status="0"), Outcome.OK, Code.OK),
+    (answered(grpc_status="14"), Outcome.ERROR, Code.UNAVAILABLE),
+    (answered(grpc_status="8", srv_declined="1"), Outcome.ERROR, Code.RESOURCE_EXHAUSTED),
+    (answered(grpc_status="0", srv_declined="1"), Outcome.OK, Code.OK),
+    (answered(503, b"text/plain"), Outcome.ERROR, Code.UNAVAILABLE),
+    (answered(500, b"text/html"), Outcome.ERROR, Code.UNKNOWN),
+    (answered(404, b"text/html"), Outcome.ERROR, Code.UNIMPLEMENTED),
+    (answered(), Outcome.ERROR, Code.UNKNOWN),  # headers, data, and no status
+    (Ended(End.ANSWERED, True, 200, GRPC, None), Outcome.ERROR, Code.UNKNOWN),
+    (answered(grpc_status="x"), Outcome.ERROR, Code.UNKNOWN),
+    (answered(grpc_status="99"), Outcome.ERROR, Code.UNKNOWN),
+    (answered(500, grpc_status="0"), Outcome.ERROR, Code.UNKNOWN),
+    (answered(200, b"text/html", grpc_status="0"), Outcome.ERROR, Code.UNKNOWN),
+    (answered(grpc_status="3"), Outcome.ERROR, Code.INVALID_ARGUMENT),
+    (Ended(End.RESET, True, 200, GRPC, None, 0x2), Outcome.RESET, Code.INTERNAL),
+    (Ended(End.RESET, True, reset_code=0x8), Outcome.RESET, Code.CANCELLED),
+    (Ended(End.CLOSED, True, 200, GRPC), Outcome.RESET, Code.UNAVAILABLE),  # cut after its headers
+    (Ended(End.BROKEN, True), Outcome.RESET, Code.INTERNAL),
+    (Ended(End.EXPIRED, True), Outcome.TIMEOUT, Code.DEADLINE_EXCEEDED),
+    (Ended(End.CANCELLED, True), Outcome.CANCELLED, Code.CANCELLED),
+]
+
+
+@pytest.mark.parametrize(("ended", "outcome", "code"), TABLE, ids=range(len(TABLE)))
+def test_each_end_has_its_outcome(ended: Ended, outcome: Outcome, code: Code) -> None:
+    verdict = judge(ended)
+    assert (verdict.outcome, verdict.code) == (outcome, code)
+
+
+STATUSES = st.one_of(st.none(), st.binary(max_size=3), st.sampled_from([b"0", b"14", b"4", b"13"]))
+
+
+@hypothesis_settings(derandomize=True, deadline=None)
+@given(st.sampled_from(End), st.sampled_from([0, 200, 404, 500, 503]),
+       st.sampled_from([GRPC, b"", b"text/html"]), STATUSES, st.integers(0, 16), st.booleans())
+def test_what_was_written_and_not_plainly_turned_away_may_have_run(end: End, http: int, kind: bytes,
+                                                                   status: bytes | None, reset: int,
+                                                                   declined: bool) -> None:
+    trailers = {} if status is None else {b"grpc-status": status}
+    if declined:
+        trailers[b"srv-declined"] = b"1"
+    outcome = judge(Ended(end, True, http, kind, trailers, reset)).outcome
+    turned_away = (end in (End.NO_CONNECTION, End.GOAWAY) or (end is End.RESET and reset == 7)
+                   or (end is End.ANSWERED and declined and (status == b"14" or http == 503)))
+    assert turned_away or outcome not in NEVER_RAN
+
+
+def test_only_what_is_about_the_request_is_passed_on() -> None:
+    passed = [code for code in Code if judge(answered(grpc_status=str(int(code)))).pass_on]
+    assert passed == [
+        Code.OK, Code.INVALID_ARGUMENT, Code.NOT_FOUND, Code.ALREADY_EXISTS, Code.PERMISSION_DENIED,
+        Code.FAILED_PRECONDITION, Code.ABORTED, Code.OUT_OF_RANGE, Code.UNIMPLEMENTED, Code.UNAUTHENTICATED]
+
+
+def test_a_refusal_says_when_to_come_back_and_a_failure_that_nobody_should() -> None:
+    assert dict(refused(1_500_001))[b"grpc-retry-pushback-ms"] == b"1501"
+    assert b"grpc-retry-pushback-ms" not in dict(refused(0)) and dict(refused(0))[b"srv-declined"] == b"1"
+    for code in Code:
+        told = dict(failed(code, b""))
+        assert told[b"grpc-retry-pushback-ms"] == b"-1" and b"srv-declined" not in told
+        assert parse(told[b"grpc-status"]) not in (Code.UNAVAILABLE, Code.RESOURCE_EXHAUSTED, Code.ABORTED)
+
+
+@pytest.mark.parametrize(("text", "us"), [(b"1H", 3_600_000_000), (b"2M", 120_000_000), (b"3S", 3_000_000),
+                                          (b"250m", 250_000), (b"7u", 7), (b"1999n", 1), (b"0n", 0),
+                                          (b"99999999H", 99_999_999 * 3_600_000_000)])
+def test_a_timeout_is_read(text: bytes, us: int) -> None:
+    assert parse_us(text) == us
+
+
+@pytest.mark.parametrize("text", [b"", b"1", b"S", b"1s", b"123456789m", b"-1m", b"1.5S", b" 1S", b"1S\n",
+                                  b"1S1S", "١S".encode()])
+def test_a_malformed_timeout_is_told(text: bytes) -> None:
+    with pytest.raises(DeadlineError, match="malformed grpc-timeout"):
+        parse_us(text)
+
+
+@hypothesis_settings(derandomize=True, deadline=None)
+@given(st.integers(-10, 10**15))
+def test_what_is_left_is_never_told_as_more(left_us: int) -> None:
+    told = format_us(left_us)
+    assert len(told) <= 9
+    assert parse_us(told) <= max(0, left_us)
+    assert parse_us(told) >= min(left_us, MOST * 1_000_000) * 0.99 - 1
+
+
+@hypothesis_settings(derandomize=True, deadline=None)
+@given(st.text(max_size=200))
+def test_a_message_comes_back_as_it_was(text: str) -> None:
+    raw = encode_message(text)
+    assert all(0x20 <= byte <= 0x7E for byte in raw)
+    assert decode_message(raw) == text.encode("utf-8", "replace").decode()
+
+
+@hypothesis_settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=100))
+def test_no_message_is_an_error(raw: bytes) -> None:
+    decode_message(raw)
+
+
+@pytest.mark.parametrize("text", [None, b"", b"00", b"01", b"-1", b"1 ", b"17", b"100", b"x"])
+def test_a_status_that_is_none_is_unknown(text: bytes | None) -> None:
+    assert parse(text) is Code.UNKNOWN
--- a/wickspread/lab/http1.py
+++ b/wickspread/lab/http1.py
@@ -50,6 +50,12 @@
     def on_body(self, body: bytes) -> None:
         self.body += body
 
+    def feed(self, parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes) -> None:
+        try:
+            parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort()
+
     def abort(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -65,10 +71,7 @@
     def data_received(self, data: bytes) -> None:
         if not self.first_us:
             self.first_us = now_us()
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.abort()
+        self.feed(self.parser, data)
 
     def on_message_begin(self) -> None:
         self.begin()
@@ -114,10 +117,7 @@
         if self.reply is None:
             self.abort()
             return
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self.abort()
+        self.feed(self.parser, data)
 
     def on_message_begin(self) -> None:
         self.begin()
--- a/wickspread/sidecar/discovery.py
+++ b/wickspread/sidecar/discovery.py
@@ -163,7 +163,8 @@
                     self.forget([host.entry.id for host in part])
                 yield
             self.sink.list_changed(api.ListKind.DELTA, [], version)
-            self.version = version
+            if call is None or not call.over:  # else it is told again, or discovery is elsewhere now
+                self.version = version
             return
         self.version = version
         self.forget(list(self.directory.names) if whole else [host.entry.id for host in hosts])
--- a/wickspread/sidecar/listing.py
+++ b/wickspread/sidecar/listing.py
@@ -138,12 +138,7 @@
                 self.peek()
                 value, self.at = DECODER.raw_decode(self.text, self.at)
                 self.field(key, value)
-            if self.peek() == ",":
-                self.at += 1
-                if self.peek() == "}":
-                    raise ListError("a comma before the end")
-            elif self.peek() != "}":
-                raise ListError(f"byte {self.at}: expected a comma or the end")
+            self.pass_comma("}")
         self.at += 1
         if self.peek():
             raise ListError("more behind the list")
@@ -174,12 +169,7 @@
                 raise ListError(f"over {MOST_HOSTS} hosts")
             if count % SLICE == 0:
                 yield
-            if self.peek() == ",":
-                self.at += 1
-                if self.peek() == "]":
-                    raise ListError("a comma before the end of 'hosts'")
-            elif self.peek() != "]":
-                raise ListError(f"byte {self.at}: expected a comma or the end of 'hosts'")
+            self.pass_comma("]")
         self.at += 1
 
     def add(self, host: Host) -> None:
@@ -195,6 +185,15 @@
             self.at += 1
         return self.text[self.at:self.at + 1]
 
+    def pass_comma(self, end: str) -> None:
+        """Behind an element: a comma and another one, or the end, which stays."""
+        if self.peek() == ",":
+            self.at += 1
+            if self.peek() == end:
+                raise ListError(f"byte {self.at}: a comma before {end!r}")
+        elif self.peek() != end:
+            raise ListError(f"byte {self.at}: expected a comma or {end!r}")
+
     def expect(self, mark: str) -> None:
         if self.peek() != mark:
             raise ListError(f"byte {self.at}: expected {mark!r}, got {self.text[self.at:self.at + 20]!r}")
--- a/wickspread/subset.py
+++ b/wickspread/subset.py
@@ -42,9 +42,12 @@
 
     def __init__(self, index: int, instances: int, most: int, home: int, sites: int = 1) -> None:
         self.index = index
-        # the smallest prime that does not divide their number: see `scattered`
-        self.base = next(prime for prime in (2, 3, 5, 7, 11, 13, 17) if sites % prime) if sites > 0 else 2
         self.instances = max(1, instances)
+        # the smallest prime that does not divide their number: see `scattered`
+        self.base = next(prime for prime in (2, 3, 5, 7, 11, 13, 17, 1) if prime == 1 or sites % prime)
+        self.places = 1  # on which as many as a site has stand one by one
+        while self.base > 1 and self.places < self.instances / sites:
+            self.places *= self.base
         self.most = most  # upstreams that it may use together; 0 = no bound, all are used
         self.home = home  # -1 = zones do not count
         self.rings: tuple[Ring, Ring] = (Sorted(), Sorted())  # those of other zones, those of the own
@@ -100,7 +103,12 @@
         if count == 0:
             return 0, 0
         if near:
-            return int(scattered(self.index, self.base) * count), min(count, wanted)
+            position = scattered(self.index, self.base)
+            gap = count / self.places
+            if gap > max(1, self.most // 2):
+                return int(position * count), min(count, wanted)
+            start, part = int(position * count), math.ceil(wanted / gap) / self.places
+            return start, min(count, int((position + part) * count) - start)
         start = int(self.index * gap)
         if gap > max(1, self.most // 2):
             return start, min(count, wanted)  # too few sidecars to cover the ring
