Stand-ins for ill members leave the subset again when these are well

Need: found on reading the change: nothing looked at the members anew until the list or the traffic changed, so a subset that had widened stayed wide for good.

--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -174,6 +174,18 @@
     assert set(serve(world, 200)) & bad
 
 
+def test_those_that_stood_in_leave_when_the_members_are_well_again() -> None:
+    """Without the mend they stayed until the list changed."""
+    world = large_world()
+    before = set(world.balancer.subset.members)
+    serve(world, 400, set(list(before)[::2]))
+    assert len(world.balancer.subset.members) > len(before)
+    for _ in range(60):
+        serve(world, 40)
+        world.advance(1_000_000)
+    assert set(world.balancer.subset.members) == before
+
+
 def test_cold_members_are_added_to() -> None:
     world = large_world()
     used = set(world.balancer.subset.members)
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -399,7 +399,7 @@
         self.sort_us = self.now_us + GAP_US
         self.fleet.renew(self.now_us)
         busiest, self.busiest = self.busiest, self.total.used
-        if self.subset.on and self.subset.resize(self.now_us, busiest):
+        if self.subset.on and self.subset.renewed(self.now_us, busiest):
             self.select()
         warm = len(self.fleet.warm)
         first = max(LEAST_IN_ALL, MOST_AT_FIRST / self.sharing * warm)
--- a/wickspread/subset.py
+++ b/wickspread/subset.py
@@ -55,7 +55,7 @@
         self.members: dict[int, None] = {}
         self.suspects: dict[int, int] = {}  # ill when last seen: until when that counts
         self.size = LEAST  # members wanted that are well
-        self.small_since_us = 0
+        self.small_since_us = self.selected_us = 0
 
     def __len__(self) -> int:
         return len(self.zones)
@@ -77,6 +77,11 @@
             self.rings[zone == self.home].remove(place_of(ident))
         self.suspects.pop(ident, None)
 
+    def renewed(self, now_us: int, busiest: int) -> bool:
+        """Whether to select anew: the size has changed, or who is ill was looked at long ago. Hazard: where
+        nothing else happens, those that stood in for ill or cold members would stay for good."""
+        return self.resize(now_us, busiest) or now_us - self.selected_us >= SUSPECT_US
+
     def resize(self, now_us: int, busiest: int) -> bool:
         """Follow the traffic: `busiest` requests were out together. Wider at once, narrower in time, and
         then by halves. True if the size has changed."""
@@ -118,6 +123,7 @@
     def select(self, now_us: int, usable: Callable[[int], bool]) -> tuple[list[int], list[int]]:
         """Renew the members: who joins and who leaves. Along the arc, and beyond it in place of each that is
         not usable; of these as many stay as there is room for, so that they are seen to be well again."""
+        self.selected_us = now_us
         if not self.on:
             return self.change(self.zones)
         self.suspects = {one: until for one, until in self.suspects.items() if until > now_us}
