--- /dev/null
+++ b/tests/operator/test_file.py
@@ -0,0 +1,72 @@
+"""The operator file: what it gives, and the one line for everything that is wrong with it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wickspread.operator.file import Grpc, Operator, OperatorError, load, read
+
+
+def test_without_a_file_all_is_off() -> None:
+    assert load({}) == Operator()
+    assert load({"WICKSPREAD_OPERATOR": ""}) == Operator()
+    assert not read("").grpc.enabled
+
+
+def test_a_whole_table() -> None:
+    told = read('[grpc]\nenabled = true\nstreams = 7\nidle_s = 3\n'
+                '[grpc.methods]\n"/komiks.Purchase/BuyChapter" = "chapter-buy"\n'
+                 '"/komiks.Reader/*" = "read"\n')
+    assert told.grpc == Grpc(True, {"/komiks.Purchase/BuyChapter": "chapter-buy", "/komiks.Reader/*": "read"},
+                             streams=7, idle_s=3.0)
+
+
+@pytest.mark.parametrize(("text", "line"), [
+    ("grcp = 1", "grcp: unknown; expected one of grpc"),
+    ("grpc = 1", "grpc: expected a table, got 1"),
+    ("[grpc]\nenable = true", "grpc.enable: unknown; expected one of enabled, "),
+    ("[grpc]\nenabled = 1", "grpc.enabled: expected true or false, got 1"),
+    ("[grpc]\nstreams = true", "grpc.streams: expected a whole number, got True"),
+    ("[grpc]\nstreams = 1.0", "grpc.streams: expected a whole number, got 1.0"),
+    ("[grpc]\nstreams = 0", "grpc.streams: expected 1 to 10000, got 0"),
+    ("[grpc]\nidle_s = nan", "grpc.idle_s: expected 0.1 to 86400, got nan"),
+    ("[grpc]\nidle_s = '1'", "grpc.idle_s: expected a number, got '1'"),
+    ("[grpc]\nprobe = 'tcp'", "grpc.probe: expected 'http' or 'grpc', got 'tcp'"),
+    ("[grpc]\nmethods = []", "grpc.methods: expected a table, got []"),
+    ("[grpc.methods]\n'/a.B/C' = 1", "grpc.methods.'/a.B/C': expected a text, got 1"),
+    ("[grpc.methods]\n'a.B/C' = 'x'", "grpc.methods.'a.B/C': expected /package.Service/Method"),
+    ("[grpc.methods]\n'/a.B/' = 'x'", "grpc.methods.'/a.B/': expected /package.Service/Method"),
+    ("[grpc\n", "not TOML: "),
+])
+def test_one_line_names_the_key(text: str, line: str) -> None:
+    with pytest.raises(OperatorError) as found:
+        read(text)
+    assert str(found.value).startswith(line) and "\n" not in str(found.value)
+
+
+def test_a_file_that_is_missing_too_large_or_no_text(tmp_path: Path) -> None:
+    for data, part in ((None, "No such file"), (b"#" * 1_100_000, "over 1048576 bytes"), (b"\xff", "utf-8")):
+        path = tmp_path / "operator.toml"
+        if data is not None:
+            path.write_bytes(data)
+        with pytest.raises(OperatorError) as found:
+            load({"WICKSPREAD_OPERATOR": str(path)})
+        assert part in str(found.value) and str(path) in str(found.value) and "\n" not in str(found.value)
+
+
+@given(st.dictionaries(st.text(max_size=8), st.one_of(st.integers(), st.booleans(), st.text(max_size=5))))
+def test_any_table_is_read_or_told_in_a_line(told: dict[str, object]) -> None:
+    lines = [f"{quoted(key)} = {str(value).lower() if not isinstance(value, str) else quoted(value)}"
+             for key, value in told.items()]
+    try:
+        read("\n".join(["[grpc]", *lines]))
+    except OperatorError as error:
+        assert "\n" not in str(error) and str(error).startswith(("grpc", "not TOML"))
+
+
+def quoted(text: str) -> str:
+    return '"' + "".join(f"\\U{ord(one):08x}" for one in text) + '"'
--- /dev/null
+++ b/wickspread/operator/__init__.py
@@ -0,0 +1,1 @@
+"""What operators turn on: the operator file, one table a subsystem. All is off without it."""
