HTTP/2 streams that end unread give their part of the connection's window back

libnghttp2 keeps data that was never acknowledged out of the connection's window when its stream closes; the comment said otherwise. With 60 KB a stream and a window of 1 MiB the 18th stream stalled. The layer counts what each stream holds and gives it back at the stream's end. Four tests; the stall was seen without the change.

--- a/tests/http2/test_connection.py
+++ b/tests/http2/test_connection.py
@@ -26,7 +26,7 @@
     TrailersReceived,
     Writable,
 )
-from wickspread.http2.guard import Bucket
+from wickspread.http2.guard import Bucket, Rates
 
 PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 S = 1_000_000
@@ -277,3 +277,30 @@
     assert [bucket.take(0) for _ in range(21)] == [True] * 20 + [False]
     assert not bucket.take(0) and not bucket.take(-5 * S)
     assert bucket.take(1 * S)
+
+
+@pytest.mark.parametrize("how", ["answered", "reset by us", "reset by the peer", "crossed"])
+def test_streams_that_end_unread_give_their_window_back(how: str) -> None:
+    client, server = pair(Limits(rates=Rates(resets=1e6, windows=1e6)))
+    for _ in range(100):  # of 60 KB in a connection's window of 1 MiB
+        stream = client.open_stream(REQUEST)
+        assert stream is not None
+        client.send_data(stream, b"x" * 60_000, ended=how == "answered")
+        if how == "crossed":  # the data is on its way when the stream is given up
+            data = client.outgoing()
+            server.receive(data[:1000], 0)
+            server.reset(stream, CANCEL)
+            server.receive(data[1000:], 0)
+        else:
+            come = [one for one in move(client, server) if isinstance(one, DataReceived)]
+            assert sum(len(one.data) for one in come) == 60_000
+            if how == "answered":
+                server.send_headers(stream, [*ANSWER, *TRAILERS], ended=True)
+            elif how == "reset by us":
+                server.reset(stream, CANCEL)
+            else:
+                client.reset(stream, CANCEL)
+        move(client, server)
+        move(server, client)
+        move(client, server)
+        assert not server.held
--- a/wickspread/http2/connection.py
+++ b/wickspread/http2/connection.py
@@ -119,6 +119,7 @@
         self.core.initiate_connection(settings)
         self.core.set_local_window_size(limits.connection_window, stream_id=0)
         self.open: set[int] = set()
+        self.held: dict[int, int] = {}  # bytes of a stream that came and are not `consumed`
         self.ended: Ended | None = None
         self.going = False  # no new streams are taken
         self.broken = False  # the library's state is beyond mending
@@ -184,17 +185,19 @@
             case ngh2.DataReceived():
                 if not event.data and not event.end_stream and not self.guard.allows("empty", now_us):
                     return [self.end(CALM, "too many empty frames")]
+                if event.data:
+                    self.held[event.stream_id] = self.held.get(event.stream_id, 0) + len(event.data)
                 return [DataReceived(event.stream_id, event.data, event.end_stream)]
             case ngh2.TrailersReceived():
                 return [TrailersReceived(event.stream_id, plain(event.headers))]
             case ngh2.StreamReset():
                 if not self.guard.allows("resets", now_us):
                     return [self.end(CALM, "too many resets")]
-                self.open.discard(event.stream_id)
+                self.close(event.stream_id)
                 return [StreamReset(event.stream_id, event.error_code)]
             case ngh2.StreamClosed():
                 known = event.stream_id in self.open
-                self.open.discard(event.stream_id)
+                self.close(event.stream_id)
                 if known and event.local_error is not None:
                     return [StreamReset(event.stream_id, event.error_code)]
             case ngh2.WindowUpdated():
@@ -213,6 +216,12 @@
                 return [self.end(event.error_code, "the connection is given up")]
         return []
 
+    def close(self, stream: int) -> None:
+        """A stream is over. Hazard: the library keeps what was not consumed of it out of the connection's
+        window for good; after some dozens of streams given up nothing would come any more."""
+        self.open.discard(stream)
+        self.consumed(stream, self.held.get(stream, 0))
+
     def end(self, code: int, why: str) -> Ended:
         """Give the connection up; its GOAWAY goes out with the next `outgoing`."""
         if self.ended is None:
@@ -265,20 +274,23 @@
     def consumed(self, stream: int, size: int) -> None:
         """Data is dealt with: the peer may send as much more. Hazard: to tell it sooner would let a peer fill
         our memory with what nobody reads."""
-        if size > 0 and self.ended is None:
-            try:
-                self.core.acknowledge_received_data(size, stream)
-            except ngh2.NGH2Error:
-                return  # closed; the library gives the connection its part back
+        held = self.held.get(stream, 0)
+        size = min(size, held)
+        if size <= 0 or self.ended is not None:
+            return
+        if size < held:
+            self.held[stream] = held - size
+        else:
+            del self.held[stream]
+        with contextlib.suppress(ngh2.NGH2Error):  # the connection has just broken
+            self.core.acknowledge_received_data(size, stream)
 
     def reset(self, stream: int, code: int) -> None:
         """End a stream at once; nothing more is sent on it."""
-        self.open.discard(stream)
+        self.close(stream)
         if self.ended is None:
-            try:
+            with contextlib.suppress(ngh2.NGH2Error):  # it is closed already
                 self.core.reset_stream(stream, code)
-            except ngh2.NGH2Error:
-                return  # it is closed already
 
     def ping(self, data: bytes) -> None:
         """Eight bytes that the peer sends back."""
