--- /dev/null
+++ b/tests/lab/test_grpc.py
@@ -0,0 +1,91 @@
+"""Days with both protocols: the same clients, nodes and faults by HTTP/1.1 and by gRPC."""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections import Counter
+
+from wickspread.lab.capacity import Machine
+from wickspread.lab.checker import REFUSED
+from wickspread.lab.clients import Load, Manners
+from wickspread.lab.grpc import GrpcCrowd
+from wickspread.lab.ledger import Answered, Asked
+from wickspread.lab.scene import Plan, Scene
+from wickspread.lab.script import Fault
+
+MACHINE = Machine(work_us=4_000, spread=0.2)
+# 13 operations in 100 meet a fault, the same one at every node and by either protocol
+FATES = {0: "error", 1: "error", 2: "declined", 3: "declined", 4: "reset", 5: "reset", 6: "half", 7: "lost"}
+
+
+def fate(request: str) -> str:
+    """By the operation's number alone: its tries, and its twin by the other protocol, meet the same."""
+    number = request.partition(".")[0].rpartition("-")[2].lstrip("g")
+    return FATES.get(zlib.crc32(number.encode()) % 60, "")
+
+
+def outcomes(scene: Scene, grpc: bool) -> Counter[tuple[str, str]]:
+    """Class and outcome of each operation's last answer."""
+    kinds = {one.request: one.kind for one in scene.ledger if isinstance(one, Asked)}
+    last: dict[str, Answered] = {}
+    for one in scene.ledger:
+        if isinstance(one, Answered) and ("-g" in one.request) == grpc:
+            last[one.request.partition(".")[0]] = one
+    return Counter((kinds[one.request], "served" if one.status == 200 else
+                    "refused" if one.status in REFUSED else "failed") for one in last.values())
+
+
+def run(plan: Plan, script: bool = False) -> Scene:
+    async def play() -> Scene:
+        async with Scene(plan) as scene:
+            if script:
+                for node in scene.nodes:
+                    node.trouble.scripted = fate
+            await scene.play()
+        return scene
+
+    return asyncio.run(asyncio.wait_for(play(), 120.0))
+
+
+def test_the_same_day_by_both_protocols_has_the_same_outcomes() -> None:
+    loads = (Load("chapter-buy", "at_most_once", 0.5, 2.0), Load("coin-topup", "deduplicated", 0.3, 2.0),
+             Load("read", "idempotent", 0.2, 2.0))
+    plan = Plan(nodes=24, rate=120.0, seconds=5.0, seed=20261201, machine=MACHINE, loads=loads, grpc=0.5,
+                manners=Manners(tries=1))
+    scene = run(plan, script=True)
+    assert scene.verdict() == []
+    http, grpc = outcomes(scene, False), outcomes(scene, True)
+    assert http == grpc, f"seed {plan.seed}: {http} by HTTP/1.1, {grpc} by gRPC"
+    assert sum(http.values()) > 200 and len(http) >= 6, http
+
+
+def test_a_bad_day_with_both_protocols_breaks_no_rule() -> None:
+    faults = (Fault("silent", 1.0, 3.0, nodes=2), Fault("errors", 1.5, 3.0, nodes=2, size=0.5),
+              Fault("drain", 2.0, 2.0, nodes=2), Fault("crash", 3.0, 2.0, nodes=2),
+              Fault("reset", 2.5, 3.0, nodes=2, size=0.3), Fault("half", 2.5, 3.0, nodes=2, size=0.3))
+    plan = Plan(nodes=16, rate=160.0, seconds=8.0, seed=7, machine=MACHINE, grpc=0.5, faults=faults,
+                manners=Manners(quits=0.05))
+    scene = run(plan)
+    assert scene.verdict() == [], f"seed {plan.seed}"
+    served = outcomes(scene, True)
+    assert sum(count for (_, what), count in served.items() if what == "served") > 0.5 * sum(served.values())
+
+
+def test_a_stop_under_grpc_load_loses_no_call() -> None:
+    async def play() -> Scene:
+        async with Scene(Plan(nodes=8, rate=150.0, seconds=4.0, seed=11, machine=MACHINE, grpc=1.0,
+                              manners=Manners(tries=1))) as scene:
+            loop = asyncio.get_running_loop()
+            stopping: list[asyncio.Task[int | None]] = []
+            loop.call_later(2.0, lambda: stopping.append(loop.create_task(scene.sidecars[0].stop())))
+            await scene.play()
+            assert [await one for one in stopping] == [0]
+        return scene
+
+    scene = asyncio.run(asyncio.wait_for(play(), 60.0))
+    assert scene.verdict() == []
+    crowd = scene.crowds[0]
+    assert isinstance(crowd, GrpcCrowd) and crowd.refused_connects > 0  # it went on asking until it was gone
+    answers = [one for one in scene.ledger if isinstance(one, Answered)]
+    assert len(answers) > 150 and all(one.status for one in answers)
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -37,6 +37,7 @@
 SWEEP_S = 0.25
 MOST_CONNECTIONS = 8  # to one node; more calls than they hold are turned away
 WINDOW = 64 * 1024
+MOST_UNREAD = 48 * 1024  # of a first message that is not whole; a node can't send more than its window
 STREAMS = 100  # on one connection, of which the windows of all fit into the connection's
 LIMITS = Limits(streams=0, window=WINDOW, connection_window=STREAMS * WINDOW)
 PING = b"wickspre"
@@ -53,6 +54,8 @@
 
     def again(self) -> bool: ...
 
+    def is_bound(self) -> bool: ...
+
     def answering(self, attempt: Attempt) -> None: ...
 
     def ending(self, attempt: Attempt, outcome: api.Outcome, ended: Ended | None) -> tuple[
@@ -142,6 +145,16 @@
             self.connection.http2.consumed(self.stream, size)
             self.connection.schedule()
 
+    def ready(self) -> bool:
+        """Something of the answer is to go on. Hazard: the first bytes that do bind the call to this node; a
+        message that is cut short is of no use to the client, and would cost it another attempt."""
+        unread = self.unread
+        if not unread:
+            return self.source.eager or not self.source.whole
+        if self.source.is_bound() or len(unread) >= MOST_UNREAD:
+            return True
+        return len(unread) >= 5 and len(unread) >= 5 + int.from_bytes(unread[1:5], "big")
+
     def load(self) -> bytes:
         """Its srv-load, if any."""
         return next((value for name, value in self.trailers or self.headers if name == b"srv-load"), b"")
@@ -317,7 +330,7 @@
         if self.touched:
             touched, self.touched = self.touched, {}
             for attempt in touched:
-                if not attempt.done:
+                if not attempt.done and attempt.ready():
                     attempt.source.answering(attempt)
         if self.waiting:
             self.admit()
@@ -332,8 +345,7 @@
             self.answered(attempt)
             return
         attempt.headers = event.headers
-        if attempt.source.eager or not attempt.source.whole:
-            self.touched[attempt] = None
+        self.touched[attempt] = None
 
     def on_data(self, event: DataReceived) -> None:
         attempt = self.streams.get(event.stream)
--- a/wickspread/grpc/probe.py
+++ b/wickspread/grpc/probe.py
@@ -32,6 +32,9 @@
     def again(self) -> bool:
         return True
 
+    def is_bound(self) -> bool:
+        return False
+
     def answering(self, attempt: Attempt) -> None:
         """Its answer is whole when it ends; more than a window is not read."""
 
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -139,6 +139,9 @@
         """All that the client has sent is still here."""
         return self.base == 0 and self.bound is None
 
+    def is_bound(self) -> bool:
+        return self.bound is not None
+
     def pump(self) -> None:
         """Send on what attempts have not had. What all have had is kept while it may be needed again; past
         that the client may send more, and no new attempt can be made."""
--- a/wickspread/lab/clients.py
+++ b/wickspread/lab/clients.py
@@ -38,6 +38,8 @@
 class Crowd:
     """The clients of one sidecar."""
 
+    tag = ""  # of its requests' names
+
     def __init__(self, ledger: Ledger, sidecar: str, address: tuple[str, int], loads: list[Load],
                  manners: Manners, seed: int) -> None:
         self.ledger = ledger
@@ -46,12 +48,15 @@
         self.loads = loads
         self.manners = manners
         self.dice = random.Random(seed)
+        # its own, so that what is asked and when does not depend on how answers fall
+        self.arrivals = random.Random(seed * 2 + 1)
         self.idle: list[ClientPeer] = []
         self.open = 0
         self.out = 0
         self.asked = 0
         self.refused_connects = 0
         self.operations = 0
+        self.rate = 0.0  # requests a second, as the scene has it
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def play(self, rate: float, seconds: float, most: int = 1_000_000) -> None:
@@ -61,13 +66,13 @@
         at = 0.0
         weights = [load.share for load in self.loads]
         for _ in range(most):
-            at += self.dice.expovariate(rate)
+            at += self.arrivals.expovariate(rate)
             if at >= seconds:
                 break
             wait = begin + at - loop.time()
             if wait > 0:
                 await asyncio.sleep(wait)
-            self.start(self.dice.choices(self.loads, weights)[0])
+            self.start(self.arrivals.choices(self.loads, weights)[0])
 
     def start(self, load: Load) -> None:
         self.operations += 1
@@ -82,7 +87,7 @@
 
     async def operation(self, load: Load, number: int) -> None:
         """One thing that a reader wants, with the client's retries."""
-        name = f"{self.sidecar}-{number}"
+        name = f"{self.sidecar}-{self.tag}{number}"
         honours = self.dice.random() < self.manners.honours
         for tries in range(1, self.manners.tries + 1):
             reply = await self.request(load, name, tries)
--- a/wickspread/lab/nodes.py
+++ b/wickspread/lab/nodes.py
@@ -5,14 +5,16 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 from wickspread.lab.capacity import Capacity, Machine
 from wickspread.lab.http1 import Request, ServerPeer
 from wickspread.lab.ledger import Fell, Ledger, Ran, Received, Started, now_us
 
 MOST_NODES = 60_000
+SCRIPTED = ("error", "declined", "reset", "half", "lost")
 DECLINED = b"Srv-Declined: 1\r\n"
 FALLEN_S = 6.0  # a node that fell is started anew after this
 
@@ -32,12 +34,27 @@
     reset: float = 0.0  # share whose connection breaks after the answer's headers
     half: float = 0.0  # share whose answer ends in the middle of its body
     slow: float = 1.0  # times as long
+    scripted: Callable[[str], str] | None = None  # by a request's name: one of SCRIPTED, or "" for none
+
+
+class Asker(Protocol):
+    """Whom a node answers: a connection of HTTP/1.1, or one call of gRPC's."""
+
+    def answer(self, status: bytes, body: bytes = b"", head: bytes = b"") -> None: ...
+
+    def cut(self, body: bytes) -> None:
+        """The answer's headers and this part of its body, and no more."""
+
+
+class Aborted(Protocol):
+    def abort(self) -> None: ...
 
 
 class NodePeer(ServerPeer):
     def __init__(self, node: Node) -> None:
         super().__init__()
         self.node = node
+        self.fresh = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -47,9 +64,22 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.node.peers.discard(self)
 
+    def data_received(self, data: bytes) -> None:
+        if self.fresh:
+            self.fresh = False
+            if data.startswith(b"PRI ") and self.transport is not None:
+                self.node.speak_grpc(self, data)
+                return
+        super().data_received(data)
+
     def on_request(self, request: Request) -> None:
         self.node.receive(self, request)
 
+    def cut(self, body: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body) + 9, body))
+            self.transport.close()
+
 
 class Node:
     """One node: its listener, its machine, its entry in the roster."""
@@ -67,13 +97,13 @@
         self.dice = random.Random(seed)
         self.trouble = Trouble()
         self.health = "in_service"
-        self.peers: set[NodePeer] = set()
+        self.peers: set[Aborted] = set()
         self.accepted = self.received = self.served = 0
         self.port = 0
         self.born_ms = 0
         self.incarnation = 0
         self.jobs = 0
-        self.open: dict[str, tuple[NodePeer, Request, int]] = {}  # job: whose, what, in which incarnation
+        self.open: dict[str, tuple[Asker, Request, int]] = {}  # job: whose, what, in which incarnation
         self.server: asyncio.Server | None = None
         self.capacity = Capacity(machine, seed, now_us(), warm=True)
 
@@ -118,7 +148,7 @@
         if self.keep_records:
             self.ledger.add(record)
 
-    def receive(self, peer: NodePeer, request: Request) -> None:
+    def receive(self, peer: Asker, request: Request) -> None:
         if request.target.startswith((b"/health", b"/status")):
             peer.answer(b"200 OK")
             return
@@ -127,9 +157,11 @@
         work_us = self.capacity.draw_work()
         self.jobs += 1
         job = f"{ident} {self.jobs}"
-        failing = self.dice.random() < self.trouble.errors
+        fate = self.trouble.scripted(ident) if self.trouble.scripted is not None else ""
+        failing = self.dice.random() < self.trouble.errors or fate == "error"
         was_up = not self.capacity.fallen
-        taken = self.trouble.silent or failing or self.capacity.offer(request.last_us, job, work_us)
+        taken = self.trouble.silent or failing or (
+            fate != "declined" and self.capacity.offer(request.last_us, job, work_us))
         self.record(Received(request.last_us, request.first_us, ident, self.name, self.cell, taken, work_us))
         if self.capacity.fallen and was_up:
             self.record(Fell(request.last_us, self.name))
@@ -162,21 +194,28 @@
         self.served += 1
         chance, trouble = self.dice.random(), self.trouble
         body = b"%s ran at %s" % (request.headers.get(b"req-id", b""), self.name.encode())
-        whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-        if trouble.silent or chance < trouble.lost:
+        fate = trouble.scripted(job.partition(" ")[0]) if trouble.scripted is not None else ""
+        if trouble.silent or chance < trouble.lost or fate == "lost":
             pass
-        elif chance < trouble.lost + trouble.reset:
-            self.part(peer, whole[:whole.index(b"\r\n\r\n") + 4])
-        elif chance < trouble.lost + trouble.reset + trouble.half:
-            self.part(peer, whole[:-len(body) // 2])
+        elif chance < trouble.lost + trouble.reset or fate == "reset":
+            peer.cut(b"")
+        elif chance < trouble.lost + trouble.reset + trouble.half or fate == "half":
+            peer.cut(body[:len(body) // 2])
         else:
             peer.answer(b"200 OK", body)
         self.go_on()
 
-    def part(self, peer: NodePeer, data: bytes) -> None:
-        if peer.transport is not None and not peer.transport.is_closing():
-            peer.transport.write(data)
-            peer.transport.close()
+    def speak_grpc(self, peer: NodePeer, data: bytes) -> None:
+        """The preface of HTTP/2 has come. Imported here: most plays have no gRPC."""
+        from wickspread.lab.grpc import GrpcNodePeer
+
+        assert peer.transport is not None
+        other = GrpcNodePeer(self)
+        self.peers.discard(peer)
+        self.peers.add(other)
+        peer.transport.set_protocol(other)
+        other.connection_made(peer.transport)
+        other.data_received(data)
 
     def set_slow(self, times: float) -> None:
         self.trouble.slow = self.capacity.slow = times
--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -49,6 +49,7 @@
     manners: Manners = field(default_factory=Manners)
     loads: tuple[Load, ...] = tuple(LOADS)
     faults: tuple[Fault, ...] = ()
+    grpc: float = 0.0  # share of the requests that come by gRPC
     keep_nodes: bool = True  # record what nodes see; off for long measurements
 
 
@@ -193,19 +194,39 @@
             config = {"discovery": await self.roster.serve(name), "seed": f"{plan.seed * 7919 + index:x}",
                       "limits": {"sockets": plan.sockets}, "known": self.roster.known(),
                       "settings": settings(plan, index)}
-            self.sidecars.append(SidecarProcess(name, config, self.folder.name))
+            self.sidecars.append(SidecarProcess(name, config, self.folder.name, self.operator()))
         await asyncio.gather(*[one.start() for one in self.sidecars])
         for index, one in enumerate(self.sidecars):
-            self.crowds.append(Crowd(self.ledger, one.name, one.address, list(plan.loads), plan.manners,
-                                     plan.seed * 31 + index))
+            for kind, share in self.protocols():
+                crowd = kind(self.ledger, one.name, one.address, list(plan.loads), plan.manners,
+                             plan.seed * 31 + index)
+                crowd.rate = plan.rate * share / plan.sidecars
+                self.crowds.append(crowd)
         self.player = Player(list(plan.faults), self.nodes, self.roster, self.ledger, plan.seed)
 
+    def operator(self) -> str:
+        """The sidecars' operator file. gRPC's part of the lab is imported where there is some."""
+        if not self.plan.grpc:
+            return ""
+        from wickspread.lab.grpc import methods
+
+        return methods(self.plan.loads)
+
+    def protocols(self) -> list[tuple[type[Crowd], float]]:
+        """Clients' protocols, each with its share of the requests."""
+        found: list[tuple[type[Crowd], float]] = [(Crowd, 1.0 - self.plan.grpc)]
+        if self.plan.grpc:
+            from wickspread.lab.grpc import GrpcCrowd
+
+            found.append((GrpcCrowd, self.plan.grpc))
+        return [(kind, share) for kind, share in found if share > 0]
+
     async def play(self) -> None:
         """The clients' requests and the faults; returns when all is answered."""
         assert self.player is not None
         self.player.play()
-        rate = self.plan.rate / len(self.crowds)
-        await asyncio.gather(*[crowd.play(rate, self.plan.seconds, self.plan.most) for crowd in self.crowds])
+        await asyncio.gather(*[crowd.play(crowd.rate, self.plan.seconds, self.plan.most)
+                               for crowd in self.crowds])
         await asyncio.gather(*[crowd.finish() for crowd in self.crowds])
 
     def verdict(self) -> list[Breach]:
