gRPC's hard cases, floods, health and stops, by peers that write frames by hand

Mended on the way: a second GOAWAY on a connection that is ending raised in the stop; attempts that the guard ends are told as timed out.

--- /dev/null
+++ b/tests/grpc/rig.py
@@ -0,0 +1,280 @@
+"""A sidecar's gRPC side in this process, with scripted peers on both ends that write frames by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+import uvloop
+
+from tests.test_engine import Decisions, NoDiscovery
+from tests.world import settings
+from wickspread import interface as api
+from wickspread.grpc.start import start
+from wickspread.http2.connection import (
+    Connection,
+    DataReceived,
+    Ended,
+    Event,
+    GoawayReceived,
+    HeadersReceived,
+    Limits,
+    StreamReset,
+    TrailersReceived,
+)
+from wickspread.http2.guard import Rates
+from wickspread.operator.file import Grpc
+from wickspread.sidecar.engine import Clock, Engine
+from wickspread.sidecar.server import Server
+from wickspread.sidecar.upstream import Host, Pool
+
+LONG_S = 20.0
+PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+DATA, HEADERS, PRIORITY, RST, SETTINGS, PING, GOAWAY, WINDOW, CONTINUATION = 0, 1, 2, 3, 4, 6, 7, 8, 9
+END_STREAM, ACK, END_HEADERS = 1, 1, 4
+OPEN = Limits(streams=10_000, window=1 << 20, connection_window=1 << 28, header_bytes=1 << 20, unsent=1 << 28,
+              rates=Rates(1e9, 1e9, 1e9, 1e9, 1e9))
+ANSWER = [(b":status", b"200"), (b"content-type", b"application/grpc")]
+# classes of tests/world.py's settings: 0 idempotent, 1 unsafe, 2 keyed
+METHODS = {"/t.T/Read": "read", "/t.T/Pay": "pay", "/t.T/Top": "top", "/t.S/*": "stream"}
+
+
+def frame(kind: int, flags: int, stream: int, payload: bytes) -> bytes:
+    return struct.pack(">I", len(payload))[1:] + bytes([kind, flags]) + struct.pack(">I", stream) + payload
+
+
+def framed(body: bytes) -> bytes:
+    return b"\x00" + len(body).to_bytes(4, "big") + body
+
+
+class Peer(asyncio.Protocol):
+    """A scripted end: a connection under the test's control; events are kept and can be waited for."""
+
+    client = False
+
+    def __init__(self, limits: Limits = OPEN, frames: bool = True) -> None:
+        self.http2 = Connection(self.client, limits, 0)
+        self.by_hand = not frames  # the test writes all by itself
+        self.transport: asyncio.Transport | None = None
+        self.events: list[Event] = []
+        self.raw = bytearray()
+        self.lost = False
+        self.reads = True  # False: what comes is dealt with, but windows are never given back
+        self.news = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.flush()
+
+    def flush(self) -> None:
+        if not self.by_hand and self.transport is not None and not self.transport.is_closing():
+            self.transport.write(self.http2.outgoing())
+
+    def write(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.write(data)
+
+    def data_received(self, data: bytes) -> None:
+        self.raw += data
+        if not self.by_hand:
+            for event in self.http2.receive(data, 0):
+                self.events.append(event)
+                if isinstance(event, DataReceived) and self.reads:
+                    self.http2.consumed(event.stream, len(event.data))
+                self.on_event(event)
+            self.flush()
+        self.news.set()
+
+    def on_event(self, event: Event) -> None: ...
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.lost = True
+        self.news.set()
+
+    async def until(self, what: Callable[[], Any]) -> Any:
+        """Wait for what a read or the connection's end brings."""
+        async with asyncio.timeout(LONG_S):
+            while not (found := what()):
+                self.news.clear()
+                await self.news.wait()
+        return found
+
+    def of(self, kind: type[Any], stream: int) -> list[Any]:
+        return [one for one in self.events if isinstance(one, kind) and one.stream == stream]
+
+    def frames(self) -> list[tuple[int, int, int, bytes]]:
+        """Kind, flags, stream and payload of each whole frame that has come."""
+        found, data = [], bytes(self.raw).removeprefix(PREFACE)
+        while len(data) >= 9 and len(data) >= 9 + int.from_bytes(data[:3], "big"):
+            size = int.from_bytes(data[:3], "big")
+            found.append((data[3], data[4], int.from_bytes(data[5:9], "big"), data[9:9 + size]))
+            data = data[9 + size:]
+        return found
+
+
+class Client(Peer):
+    client = True
+
+    def call(self, path: str, body: bytes | None = b"hello", ended: bool = True,
+             **metadata: str) -> int:
+        headers = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", path.encode()),
+                   (b":authority", b"backend"), (b"te", b"trailers"), (b"content-type", b"application/grpc"),
+                   *[(name.replace("_", "-").encode(), value.encode()) for name, value in metadata.items()]]
+        stream = self.http2.open_stream(headers)
+        assert stream is not None
+        if body is not None:
+            self.http2.send_data(stream, framed(body), ended)
+        self.flush()
+        return stream
+
+    def status(self, stream: int) -> dict[bytes, bytes] | None:
+        """The trailers of an answer; None while there are none."""
+        for one in self.of(TrailersReceived, stream):
+            return dict(one.headers)
+        for one in self.of(HeadersReceived, stream):
+            if one.ended:
+                return dict(one.headers)
+        return None
+
+    async def answer(self, stream: int) -> tuple[int, dict[bytes, bytes], bytes]:
+        """Code, trailers and message data; code -1 where the stream was reset or the connection is lost."""
+        def over() -> bool:
+            ended = any(isinstance(one, Ended) for one in self.events)
+            return bool(self.status(stream) is not None or self.of(StreamReset, stream) or self.lost or ended)
+
+        await self.until(over)
+        told = self.status(stream) or {}
+        data = b"".join(one.data for one in self.of(DataReceived, stream))
+        return int(told.get(b"grpc-status", b"-1")), told, data
+
+    def end(self) -> Ended | None:
+        return next((one for one in self.events if isinstance(one, Ended)), None)
+
+    def goaway(self) -> int | None:
+        """The code of the last GOAWAY."""
+        codes = [one.code for one in self.events if isinstance(one, GoawayReceived)]
+        return codes[-1] if codes else None
+
+
+class Node(Peer):
+    """One connection to a scripted node."""
+
+    def __init__(self, script: Callable[[Node, int], None] | None = None, limits: Limits = OPEN,
+                 frames: bool = True) -> None:
+        super().__init__(limits, frames)
+        self.script = script  # called when a request is whole
+
+    def on_event(self, event: Event) -> None:
+        if self.script is not None and isinstance(event, DataReceived | HeadersReceived) and event.ended:
+            self.script(self, event.stream)
+
+    def request(self, stream: int) -> dict[bytes, bytes]:
+        return dict(self.of(HeadersReceived, stream)[0].headers)
+
+    def calls(self) -> list[int]:
+        return [one.stream for one in self.events if isinstance(one, HeadersReceived)]
+
+    def serve(self, stream: int, body: bytes = b"done", status: bytes = b"0",
+              *more: tuple[bytes, bytes]) -> None:
+        self.http2.send_headers(stream, ANSWER)
+        self.http2.send_data(stream, framed(body))
+        self.http2.send_trailers(stream, [(b"grpc-status", status), *more])
+        self.flush()
+
+    def trailers_only(self, stream: int, status: bytes, *more: tuple[bytes, bytes]) -> None:
+        self.http2.send_headers(stream, [*ANSWER, (b"grpc-status", status), *more], ended=True)
+        self.flush()
+
+
+class Rig:
+    """Engine, listener, gRPC; decisions by the test, or the real ones; nodes that are listeners here."""
+
+    def __init__(self, act: Callable[[api.Event], list[api.Action]] | None = None, told: Grpc | None = None,
+                 connect_s: float = 0.5) -> None:
+        self.settings = settings()
+        self.settings.classes = [
+            api.RequestClass("read", 500_000, 5_000_000),
+            api.RequestClass("pay", 500_000, 5_000_000, effect="at_most_once"),
+            api.RequestClass("top", 500_000, 5_000_000, effect="deduplicated", group="cell",
+                             memory_us=8_000_000),
+            api.RequestClass("stream", 500_000, 5_000_000, effect="at_most_once", stream=True)]
+        self.settings.max_attempts = 4
+        self.pool = Pool(connect_s=connect_s, idle_s=5.0, most=64)
+        self.engine = Engine(self.settings, 1, Clock(), self.pool, NoDiscovery())
+        self.decisions: Decisions | None = None
+        if act is not None:
+            self.decisions = Decisions(act)
+            self.engine.balancer = cast(Any, self.decisions)
+        self.server = Server(self.engine, 64)
+        self.nodes = start(told or Grpc(True, METHODS), self.engine, self.server)
+        self.address = self.server.listen(("127.0.0.1", 0))
+        self.listeners: list[asyncio.Server] = []
+        self.clients: list[Client] = []
+        self.made: list[list[Node]] = []  # of each node its connections
+
+    async def node(self, make: Callable[[], Node], state: api.UpstreamState = api.UpstreamState.READY) -> int:
+        """A new node; its number in the list."""
+        made: list[Node] = []
+
+        def connect() -> Node:
+            made.append(make())
+            return made[-1]
+
+        listener = await self.engine.loop.create_server(connect, "127.0.0.1", 0)
+        self.listeners.append(listener)
+        self.made.append(made)
+        number = len(self.made)
+        host, port = listener.sockets[0].getsockname()[:2]
+        self.told(number, state, (host, port))
+        return number
+
+    def told(self, number: int, state: api.UpstreamState, dial: tuple[str, int] = ("", 0)) -> None:
+        """Discovery has a word on a node."""
+        old = self.pool.hosts.get(number)
+        host = Host(api.Upstream(number, state), old.dial if old is not None else dial)
+        self.engine.list_changed(api.ListKind.DELTA, [host], number)
+
+    async def client(self, limits: Limits = OPEN, frames: bool = True) -> Client:
+        _, client = await self.engine.loop.create_connection(lambda: Client(limits, frames), *self.address)
+        self.clients.append(client)
+        return client
+
+    def ended(self) -> list[api.AttemptEnded]:
+        assert self.decisions is not None
+        return [one for one in self.decisions.events if isinstance(one, api.AttemptEnded)]
+
+    def close(self) -> None:
+        self.nodes.close()
+        self.pool.close()
+        for listener in self.listeners:
+            listener.close()
+        for client in self.clients:
+            if client.transport is not None:
+                client.transport.abort()
+        for node in [one for made in self.made for one in made]:
+            if node.transport is not None:
+                node.transport.abort()
+        self.server.pause()
+        taken, self.server.listener = self.server.listener, None
+        if taken is not None:
+            taken.close()
+
+
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    uvloop.run(asyncio.wait_for(test(), LONG_S + 10))
+
+
+def send_to(*upstreams: int) -> Callable[[api.Event], list[api.Action]]:
+    """Decisions: each request to these in turn, as attempts fail; then it is failed."""
+    def act(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.RequestArrived):
+            return [api.Send(event.request, upstreams[0])]
+        if isinstance(event, api.AttemptEnded) and not event.final:
+            if event.attempt + 1 < len(upstreams):
+                return [api.Send(event.request, upstreams[event.attempt + 1])]
+            return [api.Fail(event.request)]
+        return []
+
+    return act
--- /dev/null
+++ b/tests/grpc/test_front.py
@@ -0,0 +1,268 @@
+"""The listener that speaks both, hostile clients, health, and the end of a sidecar."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+
+import pytest
+
+from tests.grpc.rig import (
+    CONTINUATION,
+    DATA,
+    END_HEADERS,
+    END_STREAM,
+    GOAWAY,
+    HEADERS,
+    PING,
+    PREFACE,
+    RST,
+    SETTINGS,
+    WINDOW,
+    Client,
+    Node,
+    Rig,
+    frame,
+    framed,
+    run,
+    send_to,
+)
+from wickspread import interface as api
+from wickspread.grpc import health
+from wickspread.grpc.health import HealthError, Serving, service_of
+from wickspread.grpc.status import Code
+from wickspread.http2.connection import DataReceived, StreamReset
+
+REQUEST = (b"\x83\x86\x44\x09/t.T/Read\x41\x01a\x5f\x10application/grpc\x40\x02te\x08trailers")
+
+
+def hello() -> bytes:
+    return PREFACE + frame(SETTINGS, 0, 0, b"")
+
+
+def bomb() -> bytes:
+    """One large field in the table, named 3,000 times in a block of a few KB."""
+    return REQUEST + b"\x40\x01b\x7f\xa1\x1e" + b"x" * 4000 + b"\xbe" * 3000
+
+
+ATTACKS = {
+    "rapid reset": lambda: b"".join(frame(HEADERS, END_HEADERS | END_STREAM, n, REQUEST)
+                                    + frame(RST, 0, n, struct.pack(">I", 8)) for n in range(1, 4001, 2)),
+    "continuation": lambda: frame(HEADERS, 0, 1, REQUEST) + b"".join(
+        frame(CONTINUATION, 0, 1, b"\x40\x01a\x01b") for _ in range(1000)),
+    "hpack bomb": lambda: frame(HEADERS, END_HEADERS | END_STREAM, 1, bomb()),
+    "pings": lambda: frame(PING, 0, 0, b"12345678") * 500,
+    "settings": lambda: frame(SETTINGS, 0, 0, b"") * 500,
+    "empty data": lambda: frame(HEADERS, END_HEADERS, 1, REQUEST) + frame(DATA, 0, 1, b"") * 2000,
+    "windows": lambda: frame(WINDOW, 0, 0, struct.pack(">I", 1)) * 9000,
+    "a frame too large": lambda: frame(DATA, 0, 1, bytes(20_000)),
+    "no settings first": lambda: frame(HEADERS, END_HEADERS, 2, REQUEST),
+    "garbage": lambda: b"\xff" * 100,
+}
+
+
+@pytest.mark.parametrize("name", ATTACKS)
+def test_an_attack_ends_its_connection_or_stream_and_costs_others_nothing(name: str) -> None:
+    async def test() -> None:
+        rig = Rig(send_to(1))
+        await rig.node(lambda: Node(lambda node, stream: node.serve(stream)))
+        good, bad = await rig.client(), await rig.client(frames=False)
+        assert (await good.answer(good.call("/t.T/Read")))[0] == 0
+        bad.write(hello() + ATTACKS[name]())
+        if name == "hpack bomb":  # that stream alone, or the connection
+            await bad.until(lambda: bad.lost or any(kind in (RST, GOAWAY) or (kind == HEADERS and stream == 1)
+                                                    for kind, _, stream, _ in bad.frames()))
+        else:
+            await bad.until(lambda: bad.lost)
+            codes = [payload[4:8] for kind, _, _, payload in bad.frames() if kind == GOAWAY]
+            assert codes and codes[-1] != bytes(4), "it is told why"
+        for _ in range(10):
+            assert (await good.answer(good.call("/t.T/Read")))[0] == 0
+        if bad.transport is not None:
+            bad.transport.abort()
+        async with asyncio.timeout(10):
+            while rig.engine.requests or len(rig.server.connections) > 1:
+                await asyncio.sleep(0.005)
+        assert rig.nodes.held.size == 0 and not rig.server.open
+        rig.close()
+
+    run(test)
+
+
+def test_10_000_streams_at_once() -> None:
+    """The first hundred are taken; the others are refused as never begun, and nothing grows."""
+    async def test() -> None:
+        rig = Rig(send_to(1))
+        await rig.node(Node)
+        bad = await rig.client(frames=False)
+        bad.write(hello() + b"".join(frame(HEADERS, END_HEADERS | END_STREAM, n, REQUEST)
+                                     for n in range(1, 20_001, 2)))
+        good = await rig.client()
+        assert (await good.answer(good.call("/u.U/X")))[0] == Code.UNIMPLEMENTED
+        assert len(rig.engine.requests) <= 100
+        await bad.until(lambda: bad.lost or sum(kind == RST for kind, _, _, _ in bad.frames()) > 1000)
+        rig.close()
+
+    run(test)
+
+
+def test_the_preface_byte_by_byte_and_http_1_on_the_same_listener() -> None:
+    async def test() -> None:
+        rig = Rig(send_to(1))
+        await rig.node(lambda: Node(lambda node, stream: node.serve(stream)))
+        client = await rig.client(frames=False)
+        for byte in hello() + frame(HEADERS, END_HEADERS, 1, REQUEST) + frame(DATA, 1, 1, framed(b"")):
+            client.write(bytes([byte]))
+            await asyncio.sleep(0)
+        await client.until(lambda: sum(kind == HEADERS for kind, _, _, _ in client.frames()) == 2)
+        plain = await rig.client(frames=False)
+        plain.write(b"P")
+        await asyncio.sleep(0.01)
+        plain.write(b"OST /nothing HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+        await plain.until(lambda: plain.raw.startswith(b"HTTP/1.1 404"))
+        ready = await rig.client(frames=False)
+        ready.write(b"GET /ready HTTP/1.1\r\n\r\n")
+        await ready.until(lambda: ready.raw.startswith(b"HTTP/1.1 200"))
+        rig.close()
+
+    run(test)
+
+
+def test_half_a_preface_is_not_waited_for_for_ever() -> None:
+    async def test() -> None:
+        rig = Rig(send_to(1))
+        client = await rig.client(frames=False)
+        client.write(PREFACE[:10])
+        await client.until(lambda: client.lost or client.raw.startswith(b"HTTP/1.1 408"))
+        rig.close()
+
+    run(test)
+
+
+def test_what_is_not_grpc_is_415() -> None:
+    async def test() -> None:
+        rig = Rig(send_to(1))
+        client = await rig.client()
+        stream = client.http2.open_stream([
+            (b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/t.T/Read"), (b":authority", b"a"),
+            (b"content-type", b"text/html")], True)
+        client.flush()
+        assert stream is not None
+        await client.answer(stream)
+        assert client.status(stream) == {b":status": b"415"}
+        rig.close()
+
+    run(test)
+
+
+def test_health_check_and_watch() -> None:
+    async def test() -> None:
+        rig = Rig(send_to(1))
+        client = await rig.client()
+        check, watch = health.CHECK.decode(), health.WATCH.decode()
+
+        def ask(path: str, service: str = "") -> int:
+            stream = client.call(path, None)
+            client.http2.send_data(stream, health.request(service), ended=True)
+            client.flush()
+            return stream
+
+        for service, status in (("", Serving.SERVING), ("t.T", Serving.SERVING)):
+            code, _, data = await client.answer(ask(check, service))
+            assert (code, data) == (0, health.response(status))
+        assert (await client.answer(ask(check, "other")))[0] == Code.NOT_FOUND
+        stream = client.call(check, b"\xff\xff")
+        assert (await client.answer(stream))[0] == Code.INVALID_ARGUMENT
+        watched, unknown = ask(watch), ask(watch, "other")
+        await client.until(lambda: client.of(DataReceived, unknown))
+        assert client.of(DataReceived, watched)[0].data == health.response(Serving.SERVING)
+        assert client.of(DataReceived, unknown)[0].data == health.response(Serving.SERVICE_UNKNOWN)
+        stopping = asyncio.create_task(rig.server.stop())
+        await client.until(lambda: len(client.of(DataReceived, watched)) == 2)
+        assert client.of(DataReceived, watched)[1].data == health.response(Serving.NOT_SERVING)
+        assert (await client.answer(ask(check)))[2] == health.response(Serving.NOT_SERVING)
+        assert (await client.answer(watched))[0] == Code.UNAVAILABLE
+        await stopping
+        rig.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("data", [b"", b"\x01\0\0\0\0", b"\0\0\0\0\1", b"\0\0\0\0\2\x0a\5", b"\0\0\0\0\1\x0f",
+                                  b"\0\0\0\0\4\x0a\2\xff\xfe", b"\0\0\0\0\x0b" + b"\xff" * 11])
+def test_health_requests_that_are_none(data: bytes) -> None:
+    with pytest.raises(HealthError):
+        service_of(data)
+
+
+def test_other_fields_of_a_health_request_are_passed_over() -> None:
+    body = b"\x10\x96\x01" + b"\x19" + bytes(8) + b"\x25" + bytes(4) + b"\x0a\x03t.T" + b"\x1a\x01x"
+    assert service_of(framed(body)) == "t.T"
+
+
+def test_a_stop_finishes_what_is_open_and_refuses_what_is_new() -> None:
+    async def test() -> None:
+        rig = Rig(send_to(1))
+        await rig.node(Node)
+        client = await rig.client()
+        stream = client.call("/t.T/Pay")
+        while not (rig.made[0] and rig.made[0][0].calls()):
+            await asyncio.sleep(0.005)
+        stopping = asyncio.create_task(rig.server.stop())
+        await client.until(lambda: client.goaway() is not None)
+        late = client.http2.open_stream([])
+        assert late is None and not stopping.done()
+        rig.made[0][0].serve(1)
+        assert (await client.answer(stream))[0] == 0
+        await client.until(lambda: client.lost)
+        await stopping
+        rig.close()
+
+    run(test)
+
+
+def test_probes_by_grpc() -> None:
+    async def test() -> None:
+        from tests.grpc.rig import METHODS
+        from wickspread.operator.file import Grpc
+
+        rig = Rig(lambda event: [], Grpc(True, METHODS, probe="grpc"))
+        rig.settings.probes = True
+        answers = {1: health.response(Serving.SERVING)[5:], 2: health.response(Serving.NOT_SERVING)[5:]}
+        for number in (1, 2):
+            def script(node: Node, stream: int, number: int = number) -> None:
+                assert node.request(stream)[b":path"] == health.CHECK
+                node.serve(stream, answers[number])
+
+            await rig.node(lambda script=script: Node(script))  # type: ignore[misc]
+        for number in (1, 2):
+            rig.engine.perform(api.Probe(number))
+        assert rig.decisions is not None
+        events = rig.decisions.events
+        async with asyncio.timeout(10):
+            while sum(isinstance(one, api.ProbeEnded) for one in events) < 2:
+                await asyncio.sleep(0.005)
+        found = {one.upstream: one.outcome for one in events if isinstance(one, api.ProbeEnded)}
+        assert found == {1: api.Outcome.OK, 2: api.Outcome.ERROR}
+        rig.close()
+
+    run(test)
+
+
+def test_an_idle_connection_is_ended_with_a_goaway() -> None:
+    async def test() -> None:
+        from tests.grpc.rig import METHODS
+        from wickspread.operator.file import Grpc
+
+        rig = Rig(send_to(1), Grpc(True, METHODS, idle_s=0.3))
+        await rig.node(lambda: Node(lambda node, stream: node.serve(stream)))
+        client = await rig.client()
+        assert (await client.answer(client.call("/t.T/Read")))[0] == 0
+        await client.until(lambda: client.lost)
+        assert client.goaway() == 0
+        node = rig.made[0][0]
+        await node.until(lambda: node.lost)  # the node's as well
+        assert isinstance(client, Client) and not client.of(StreamReset, 1)
+        rig.close()
+
+    run(test)
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -227,6 +227,9 @@
         else:
             self.say(self.own(status, head))
         self.client.answered(self)
+        if status == 504:  # the guard was quicker than the attempts' own timers: they are told apart
+            for attempt in list(self.attempts):
+                attempt.expire()
         self.cancel()
         self.release()
 
--- a/wickspread/http2/connection.py
+++ b/wickspread/http2/connection.py
@@ -121,7 +121,8 @@
         self.open: set[int] = set()
         self.held: dict[int, int] = {}  # bytes of a stream that came and are not `consumed`
         self.ended: Ended | None = None
-        self.going = False  # no new streams are taken
+        self.going = False  # the peer knows that the end is near
+        self.refusing = False  # and that no new streams are taken
         self.broken = False  # the library's state is beyond mending
         self.highest = 0  # stream of the peer's
         self.out = bytearray()
@@ -309,8 +310,10 @@
 
     def refuse_new(self) -> None:
         """A round trip later: streams above the last are not taken; those that are open go on."""
-        if self.ended is None:
-            self.core.send_goaway(NO_ERROR)
+        if self.ended is None and not self.refusing:
+            self.going = self.refusing = True
+            with contextlib.suppress(ngh2.NGH2Error):  # the connection is ending already
+                self.core.send_goaway(NO_ERROR)
 
 
 class told:  # noqa: N801  a context, as contextlib's are
