--- a/tests/grpc/test_hard_cases.py
+++ b/tests/grpc/test_hard_cases.py
@@ -584,3 +584,33 @@
         rig.close()
 
     run(test)
+
+
+def test_the_time_out_of_an_attempt_ends_no_stream_that_has_begun() -> None:
+    async def test() -> None:
+        def act(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.RequestArrived):
+                return [api.Send(event.request, 1, 150_000)]
+            return []
+
+        rig = Rig(act)
+
+        def script(node: Node, stream: int) -> None:
+            node.http2.send_headers(stream, ANSWER)
+            node.http2.send_data(stream, framed(b"first"))
+            node.flush()
+            asyncio.get_running_loop().call_later(0.4, finish, node, stream)
+
+        def finish(node: Node, stream: int) -> None:
+            node.http2.send_data(stream, framed(b"last"))
+            node.http2.send_trailers(stream, [(b"grpc-status", b"0")])
+            node.flush()
+
+        await rig.node(lambda: Node(script))
+        client = await rig.client()
+        code, _, data = await client.answer(client.call("/t.T/Read"))
+        assert (code, data) == (0, framed(b"first") + framed(b"last"))
+        assert outcomes(rig) == [(1, O.OK)]
+        rig.close()
+
+    run(test)
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -95,6 +95,7 @@
         self.data += data
         transport = self.plain.transport
         if transport is None or self.plain.deaf:
+            self.plain.data_received(data)
             return
         if not PREFACE.startswith(self.data[:len(PREFACE)]):
             transport.set_protocol(self.plain)
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -145,6 +145,13 @@
             self.connection.http2.consumed(self.stream, size)
             self.connection.schedule()
 
+    def bind(self) -> None:
+        """The answer is the client's now. Hazard: the decisions' time-out is for an answer's beginning; a
+        stream of many messages lasts till the call's own time is out, which the engine's guard sees to."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.began()
+
     def ready(self) -> bool:
         """Something of the answer is to go on. Hazard: the first bytes that do bind the call to this node; a
         message that is cut short is of no use to the client, and would cost it another attempt."""
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -165,7 +165,7 @@
             self.bound = attempt
             for other in [one for one in self.attempts if one is not attempt]:
                 other.finish(api.Outcome.CANCELLED)
-            attempt.began()
+            attempt.bind()
         if not self.told:
             self.told = True
             self.client.send_headers(self.stream, answer_headers(attempt.headers), False)
@@ -257,9 +257,11 @@
 
     def own(self, status: int, head: bytes) -> Headers:
         if status == 503:
-            trailers = refused(retry_after_us(head))
-            if self.request.due_us <= self.nodes.engine.clock.now_us():
-                # nothing has run, as the marker says; but no time is left to come back in
+            after_us = retry_after_us(head)
+            trailers = refused(after_us)
+            waited = self.verdict is not None and self.verdict.outcome is api.Outcome.TIMEOUT
+            if self.request.due_us <= self.nodes.engine.clock.now_us() + after_us * waited:
+                # to try again is harmless, as the marker says; but no time is left to come back in
                 trailers = [(b"grpc-status", b"%d" % Code.DEADLINE_EXCEEDED),
                             (b"grpc-message", MESSAGES[Code.DEADLINE_EXCEEDED]), (b"srv-declined", b"1")]
             return trailers
