--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import json
+import os
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from wickspread.lab.scene import Plan, settings
 from wickspread.operator.file import Grpc, Operator, OperatorError, load, read
 
 
@@ -70,3 +75,30 @@
 
 def quoted(text: str) -> str:
     return '"' + "".join(f"\\U{ord(one):08x}" for one in text) + '"'
+
+
+@pytest.mark.parametrize(("text", "gone", "line"), [
+    ("[grpc]\nenabled = 1", "", "grpc.enabled: expected true or false, got 1"),
+    ("[grpc]\nenabled = true\n[grpc.methods]\n'/a.B/C' = 'none'", "",
+     "grpc.methods.'/a.B/C': no class 'none'"),
+    ("[grpc]\nenabled = true", "ngh2", "grpc.enabled: needs the `grpc` extra; no ngh2"),
+])
+def test_a_sidecar_ends_with_one_line_and_2(tmp_path: Path, text: str, gone: str, line: str) -> None:
+    operator, config = tmp_path / "operator.toml", tmp_path / "config.json"
+    operator.write_text(text)
+    config.write_text(json.dumps({"seed": "1", "settings": settings(Plan(), 0)}))
+    code = (f"import sys; sys.modules.update({{name: None for name in {gone!r}.split()}});"
+            "from wickspread.sidecar.__main__ import main; sys.exit(main())")
+    env = os.environ | {"PROXY_NAME": "n", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:9",
+                        "PROXY_CONFIG": str(config), "WICKSPREAD_OPERATOR": str(operator)}
+    done = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and line in done.stderr, done.stderr
+
+
+def test_without_grpc_no_http2_library_is_imported(tmp_path: Path) -> None:
+    """The sidecar's wiring, with everything that it imports at its start."""
+    code = ("import sys, wickspread.sidecar.__main__; "
+            "print([name for name in sys.modules if name.split('.')[0] in ('ngh2', 'grpc', 'h2')"
+            " or name.startswith(('wickspread.grpc', 'wickspread.http2'))])")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
+    assert done.stdout.strip() == "[]", done.stdout + done.stderr
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -16,7 +16,7 @@
 from wickspread.grpc import health
 from wickspread.grpc.metadata import Headers, Reader, Rejected, acceptable
 from wickspread.grpc.nodes import Nodes
-from wickspread.grpc.relay import KEPT, OWN_HEADERS, Relay
+from wickspread.grpc.relay import KEPT, OWN_HEADERS, WIDE, Relay
 from wickspread.grpc.status import Code, encode_message
 from wickspread.http2.connection import (
     CANCEL,
@@ -53,7 +53,8 @@
         self.reader = reader
         self.nodes = nodes
         self.idle_s = idle_s
-        self.limits = Limits(streams=streams, window=WINDOW, connection_window=min(streams * WINDOW, 1 << 30))
+        self.limits = Limits(streams=streams, window=WINDOW, unsent=2 * WIDE,
+                             connection_window=min(streams * WINDOW + WIDE, 1 << 30))
         self.numbers = itertools.count(1)
         self.stamp = b"%x" % (nodes.now_us() & 0xFFFFFFFFFF)
         self.watches: set[tuple[GrpcConnection, int]] = set()
@@ -340,6 +341,10 @@
         self.http2.consumed(stream, size)
         self.schedule()
 
+    def widen(self, stream: int, window: int) -> None:
+        self.http2.widen(stream, window)
+        self.schedule()
+
     def reset(self, stream: int, code: int) -> None:
         self.finishing.pop(stream, None)
         self.sender_open.discard(stream)
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -11,7 +11,7 @@
 from wickspread import interface as api
 from wickspread.grpc.metadata import Headers, Request
 from wickspread.grpc.outcome import End, Ended
-from wickspread.grpc.relay import Finished, Held
+from wickspread.grpc.relay import WIDE, Finished, Held
 from wickspread.http2.connection import (
     CANCEL,
     NO_ERROR,
@@ -33,13 +33,13 @@
 
 log = logging.getLogger("wickspread")
 
-CHUNK = 32 * 1024  # bytes that wait for a node's window, and no more are handed on
+MOST_UNSENT = 64 * 1024  # bytes that wait for a node's window, and no more are handed on
 SWEEP_S = 0.25
 MOST_CONNECTIONS = 8  # to one node; more calls than they hold are turned away
 WINDOW = 64 * 1024
 MOST_UNREAD = 48 * 1024  # of a first message that is not whole; a node can't send more than its window
 STREAMS = 100  # on one connection, of which the windows of all fit into the connection's
-LIMITS = Limits(streams=0, window=WINDOW, connection_window=STREAMS * WINDOW)
+LIMITS = Limits(streams=0, window=WINDOW, connection_window=STREAMS * WINDOW + WIDE)
 PING = b"wickspre"
 
 
@@ -69,7 +69,7 @@
 
     __slots__ = ("source", "nodes", "left_us", "ended", "began", "timer", "connection", "stream", "sent",
                  "all_sent", "entire", "handed", "done", "headers", "trailers", "trailers_only", "unread",
-                 "owed", "since")
+                 "owed", "passed", "wide", "since")
 
     def __init__(self, source: Source, nodes: Nodes, left_us: Callable[[], int], ended: Finished,
                  began: Callable[[], None]) -> None:
@@ -91,6 +91,8 @@
         self.trailers_only = False
         self.unread = bytearray()  # of the answer, not passed on yet
         self.owed = 0  # passed on, and the client has not taken it yet
+        self.passed = 0  # of the answer, to the client
+        self.wide = False  # the node may send more than the first window
         self.since = 0.0
 
     def start(self, upstream: int, timeout_s: float) -> None:
@@ -128,7 +130,7 @@
             return
         source = self.source
         start = self.sent - source.base
-        size = min(len(source.buffer) - start, CHUNK * 2 - connection.http2.unsent(self.stream))
+        size = min(len(source.buffer) - start, MOST_UNSENT - connection.http2.unsent(self.stream))
         last = source.whole and start + size >= len(source.buffer)
         if size <= 0 and not last:
             return
@@ -140,6 +142,11 @@
         self.all_sent = last
         connection.schedule()
 
+    def widen(self, window: int) -> None:
+        self.wide = True
+        if self.connection is not None:
+            self.connection.http2.widen(self.stream, window)
+
     def consumed(self, size: int) -> None:
         if self.connection is not None:
             self.connection.http2.consumed(self.stream, size)
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -22,6 +22,7 @@
 
 PUSHBACK = b"grpc-retry-pushback-ms"
 KEPT = 64 * 1024  # bytes of a request that can be sent again
+WIDE = 512 * 1024  # window of a long stream, either way: nothing of it is kept
 OWN_HEADERS = [(b":status", b"200"), (b"content-type", b"application/grpc")]
 MESSAGES = {Code.DEADLINE_EXCEEDED: b"the time is out", Code.RESOURCE_EXHAUSTED: b"too much is unread",
             Code.UNAVAILABLE: b"the node's connection ended"}
@@ -41,6 +42,8 @@
 
     def consumed(self, stream: int, size: int) -> None: ...
 
+    def widen(self, stream: int, window: int) -> None: ...
+
     def reset(self, stream: int, code: int) -> None: ...
 
     def answered(self, relay: Relay) -> None:
@@ -72,7 +75,7 @@
     """A call, from its headers to its one final status. The engine's Carrier for it."""
 
     __slots__ = ("client", "stream", "request", "nodes", "number", "buffer", "base", "whole", "attempts",
-                 "bound", "verdict", "final", "told", "over", "held", "eager", "__weakref__")
+                 "bound", "wide", "verdict", "final", "told", "over", "held", "eager", "__weakref__")
 
     def __init__(self, client: Client, stream: int, request: Request, nodes: Nodes, eager: bool) -> None:
         self.client = client
@@ -85,6 +88,7 @@
         self.whole = False  # the client has ended its side
         self.attempts: list[Attempt] = []  # those that are out
         self.bound: Attempt | None = None
+        self.wide = False  # the client may send more than is kept
         self.verdict: Verdict | None = None  # of the last attempt
         self.final: Attempt | None = None  # whose answer is the call's
         self.told = False  # headers have gone to the client
@@ -152,6 +156,9 @@
         if done > 0 and (self.base or self.bound is not None or len(self.buffer) >= KEPT):
             del self.buffer[:done]
             self.base += done
+            if self.base > 2 * KEPT and not self.wide and not self.whole:  # the node takes what it is given
+                self.wide = True
+                self.client.widen(self.stream, WIDE)
             self.nodes.held.change(self, -done)
             self.client.consumed(self.stream, done)
 
@@ -176,6 +183,9 @@
         data, attempt.unread = bytes(attempt.unread), bytearray()
         if data:
             attempt.owed += len(data)
+            attempt.passed += len(data)
+            if attempt.passed >= KEPT and not attempt.wide:
+                attempt.widen(WIDE)
             self.nodes.held.change(self, len(data))
             self.client.send_data(self.stream, data)
 
--- a/wickspread/http2/connection.py
+++ b/wickspread/http2/connection.py
@@ -290,6 +290,12 @@
         with contextlib.suppress(ngh2.NGH2Error):  # the connection has just broken
             self.core.acknowledge_received_data(size, stream)
 
+    def widen(self, stream: int, window: int) -> None:
+        """Let the peer send more on a stream before the first of it is `consumed`."""
+        if self.ended is None:
+            with contextlib.suppress(ngh2.NGH2Error):  # it is closed already
+                self.core.set_local_window_size(window, stream_id=stream)
+
     def reset(self, stream: int, code: int) -> None:
         """End a stream at once; nothing more is sent on it."""
         self.close(stream)
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -40,8 +40,10 @@
     nodes = None
     if operator.grpc.enabled:
         # hazard: the HTTP/2 library takes memory; where gRPC is off, nothing of it is imported
-        from wickspread.grpc.start import start as start_grpc
-
+        try:
+            from wickspread.grpc.start import start as start_grpc
+        except ModuleNotFoundError as error:
+            raise operators.OperatorError(f"grpc.enabled: needs the `grpc` extra; no {error.name}") from error
         nodes = start_grpc(operator.grpc, engine, server)
     engine.list_changed(api.ListKind.CACHED, known, version)
     stop = asyncio.Event()
