What clients do not read is bounded on the nodes' side as well

Over buffered_kib the call that holds most is given up, but only when a client sent something: with eight calls whose clients read nothing, the limit was passed until their deadlines. It is looked at wherever a node's data comes in too; the test, which now asks that calls within the limit go on, failed without.

--- a/tests/grpc/test_hard_cases.py
+++ b/tests/grpc/test_hard_cases.py
@@ -404,6 +404,8 @@
         streams = [client.call("/t.S/Down") for _ in range(8)]
         await client.until(lambda: any(client.of(StreamReset, stream) for stream in streams))
         assert rig.nodes.held.size <= 256 * 1024 + 65_536
+        left = len(rig.engine.requests)
+        assert 0 < left < 8, "some are given up long before their time, and no more than need be"
         rig.close()
 
     run(test)
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -433,3 +433,5 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(self.http2.outgoing())
             self.transport.close()
+            if self.backlog():  # hazard: who does not read would keep a closing connection for good
+                self.loop.call_later(LINGER_S, self.transport.abort)
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -348,6 +348,7 @@
                     attempt.source.answering(attempt)
         if self.waiting:
             self.admit()
+        self.nodes.relieve()
         self.schedule()
 
     def on_headers(self, event: HeadersReceived) -> None:
