The merge of membership without state that could be derived

A source's rank is its place among the sources, a word's start is its entry's, and no word is without an entry. Who is held by a drain of an earlier epoch is one condition in place of three. Behaviour and tests as before.

--- a/wickspread/membership/merge.py
+++ b/wickspread/membership/merge.py
@@ -22,10 +22,9 @@
     """What one source says of one node."""
 
     state: UpstreamState
-    entry: Entry | None  # as it last was; None = it was never told
+    entry: Entry  # as it last was
     revision: int
     held: bool = False  # a drain of an earlier epoch: no list takes it back
-    born_ms: int = 0  # of the start that it speaks of
 
 
 @dataclass(slots=True)
@@ -33,7 +32,6 @@
     """A source and all of its words."""
 
     name: str
-    rank: int  # 0 = named first
     epoch: str = ""
     revision: int = -1
     words: dict[str, Word] = field(default_factory=dict)
@@ -52,7 +50,7 @@
     """The words of all sources. Every method returns the names whose member may have changed."""
 
     def __init__(self, sources: Iterable[str]) -> None:
-        self.sources = {name: Source(name, rank) for rank, name in enumerate(sources)}
+        self.sources = {name: Source(name) for name in sources}  # the one named first counts first
 
     # What sources tell
 
@@ -110,19 +108,17 @@
             fresh: bool = False) -> bool:
         """One word. True if it is another one than before."""
         old = source.words.get(name)
-        state = entry.state if entry is not None else GONE
-        if old is None and state is GONE:
-            return False
-        last = entry if entry is not None and state is not GONE else old.entry if old is not None else None
-        born_ms = last.born_ms if last is not None else 0
-        held = False
-        if old is not None and old.state is DRAINING and state is not DRAINING and born_ms <= old.born_ms:
-            held = listed and (fresh or old.held)
-            if held and state is READY:
-                state = DRAINING
-        if old is not None and state is DRAINING and old.held and listed:
-            held = True
-        word = Word(state, last, revision, held and state is DRAINING, born_ms)
+        if entry is None or entry.state is GONE:
+            if old is None:
+                return False
+            word = Word(GONE, old.entry, revision)
+        else:
+            held = False
+            if listed and old is not None and old.state is DRAINING:
+                taken_back = entry.state is READY and (entry.born_ms > old.entry.born_ms
+                                                       or not (fresh or old.held))
+                held = not taken_back and (entry.state is READY or old.held)
+            word = Word(DRAINING if held else entry.state, entry, revision, held)
         source.words[name] = word
         return old is None or replace(word, revision=old.revision) != old
 
@@ -145,16 +141,12 @@
         words = [(source, source.words[name]) for source in self.sources.values() if name in source.words]
         if not words:
             return None
-        latest_ms = max(word.born_ms for _, word in words)
+        latest_ms = max(word.entry.born_ms for _, word in words)
         # a word of an earlier start speaks of a process that is no more
-        live = [(source, word) for source, word in words if word.born_ms == latest_ms]
-        _, shown = min(((source.rank, word) for source, word in live if word.entry is not None),
-                       key=lambda pair: pair[0], default=(0, None))
-        if shown is None or shown.entry is None:
-            return None
-        careful = next(((source, word) for source, word in live if word.state is not READY), live[0])
-        state = DRAINING if careful[1].state is not READY else READY
-        return Member(replace(shown.entry, state=state), careful[0].name)
+        live = [(source, word) for source, word in words if word.entry.born_ms == latest_ms]
+        careful, word = next((pair for pair in live if pair[1].state is not READY), live[0])
+        state = DRAINING if word.state is not READY else READY
+        return Member(replace(live[0][1].entry, state=state), careful.name)
 
     def members(self) -> dict[str, Member]:
         names = {name for source in self.sources.values() for name in source.words}
