One piece for what the fronts and nodes of both protocols had each for themselves

Found in reading the whole change again. http2/endpoint.py has the transport under a connection (schedule, write, choke) for the gRPC front, its nodes and the lab's peers; grpc/message.py the length prefix that five places took apart; request.py the id, key, cost, margin and seconds that metadata.py had written again; input_poll the look for unread input, four times over; Engine.give_up what overdue and abort did as well; the tests one set of frames by hand. The lab's gRPC crowd has its channels from the start and shares patience.

--- a/benchmarks/grpc.py
+++ b/benchmarks/grpc.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from wickspread import interface as api
+from wickspread.grpc.message import framed
 from wickspread.http2.connection import DataReceived, Event, Limits
 from wickspread.http2.guard import Rates
 from wickspread.lab import http1, http2
@@ -154,7 +155,7 @@
     peer.streams[number] = http2.Stream()
     done: asyncio.Future[http2.Stream | None] = loop.create_future()
     peer.waiting[number] = done
-    message = http2.framed(bytes(1_000_000))
+    message = framed(bytes(1_000_000))
     before, begun = cpu_s(pid), loop.time()
     for count in range(MESSAGES):
         peer.http2.send_data(number, message, ended=count == MESSAGES - 1)
--- a/tests/grpc/rig.py
+++ b/tests/grpc/rig.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import struct
 from collections.abc import Callable, Coroutine
 from typing import Any, cast
 
 import uvloop
 
+from tests.http2.frames import frames
 from tests.test_engine import Decisions, NoDiscovery
 from tests.world import settings
 from wickspread import interface as api
+from wickspread.grpc.message import framed
 from wickspread.grpc.start import start
 from wickspread.http2.connection import (
     Connection,
@@ -31,9 +32,6 @@
 from wickspread.sidecar.upstream import Host, Pool
 
 LONG_S = 20.0
-PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-DATA, HEADERS, PRIORITY, RST, SETTINGS, PING, GOAWAY, WINDOW, CONTINUATION = 0, 1, 2, 3, 4, 6, 7, 8, 9
-END_STREAM, ACK, END_HEADERS = 1, 1, 4
 OPEN = Limits(streams=10_000, window=1 << 20, connection_window=1 << 28, header_bytes=1 << 20, unsent=1 << 28,
               rates=Rates(1e9, 1e9, 1e9, 1e9, 1e9))
 ANSWER = [(b":status", b"200"), (b"content-type", b"application/grpc")]
@@ -41,14 +39,6 @@
 METHODS = {"/t.T/Read": "read", "/t.T/Pay": "pay", "/t.T/Top": "top", "/t.S/*": "stream"}
 
 
-def frame(kind: int, flags: int, stream: int, payload: bytes) -> bytes:
-    return struct.pack(">I", len(payload))[1:] + bytes([kind, flags]) + struct.pack(">I", stream) + payload
-
-
-def framed(body: bytes) -> bytes:
-    return b"\x00" + len(body).to_bytes(4, "big") + body
-
-
 class Peer(asyncio.Protocol):
     """A scripted end: a connection under the test's control; events are kept and can be waited for."""
 
@@ -106,12 +96,7 @@
 
     def frames(self) -> list[tuple[int, int, int, bytes]]:
         """Kind, flags, stream and payload of each whole frame that has come."""
-        found, data = [], bytes(self.raw).removeprefix(PREFACE)
-        while len(data) >= 9 and len(data) >= 9 + int.from_bytes(data[:3], "big"):
-            size = int.from_bytes(data[:3], "big")
-            found.append((data[3], data[4], int.from_bytes(data[5:9], "big"), data[9:9 + size]))
-            data = data[9 + size:]
-        return found
+        return frames(bytes(self.raw))
 
 
 class Client(Peer):
@@ -241,6 +226,13 @@
         self.clients.append(client)
         return client
 
+    async def reached(self, number: int = 1, calls: int = 1) -> Node:
+        """The first connection of that node, once so many calls have come on it."""
+        made = self.made[number - 1]
+        while not (made and len(made[0].calls()) >= calls):
+            await asyncio.sleep(0.005)
+        return made[0]
+
     def ended(self) -> list[api.AttemptEnded]:
         assert self.decisions is not None
         return [one for one in self.decisions.events if isinstance(one, api.AttemptEnded)]
--- a/tests/grpc/test_front.py
+++ b/tests/grpc/test_front.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from tests.grpc.rig import (
+from tests.grpc.rig import METHODS, Client, Node, Rig, run, send_to
+from tests.http2.frames import (
     CONTINUATION,
     DATA,
     END_HEADERS,
@@ -19,19 +20,15 @@
     RST,
     SETTINGS,
     WINDOW,
-    Client,
-    Node,
-    Rig,
     frame,
-    framed,
-    run,
-    send_to,
 )
 from wickspread import interface as api
 from wickspread.grpc import health
 from wickspread.grpc.health import HealthError, Serving, service_of
+from wickspread.grpc.message import framed
 from wickspread.grpc.status import Code
 from wickspread.http2.connection import DataReceived, StreamReset
+from wickspread.operator.file import Grpc
 
 REQUEST = (b"\x83\x86\x44\x09/t.T/Read\x41\x01a\x5f\x10application/grpc\x40\x02te\x08trailers")
 
@@ -208,8 +205,7 @@
         await rig.node(Node)
         client = await rig.client()
         stream = client.call("/t.T/Pay")
-        while not (rig.made[0] and rig.made[0][0].calls()):
-            await asyncio.sleep(0.005)
+        await rig.reached()
         stopping = asyncio.create_task(rig.server.stop())
         await client.until(lambda: client.goaway() is not None)
         late = client.http2.open_stream([])
@@ -225,9 +221,6 @@
 
 def test_probes_by_grpc() -> None:
     async def test() -> None:
-        from tests.grpc.rig import METHODS
-        from wickspread.operator.file import Grpc
-
         rig = Rig(lambda event: [], Grpc(True, METHODS, probe="grpc"))
         rig.settings.probes = True
         answers = {1: health.response(Serving.SERVING)[5:], 2: health.response(Serving.NOT_SERVING)[5:]}
@@ -253,9 +246,6 @@
 
 def test_an_idle_connection_is_ended_with_a_goaway() -> None:
     async def test() -> None:
-        from tests.grpc.rig import METHODS
-        from wickspread.operator.file import Grpc
-
         rig = Rig(send_to(1), Grpc(True, METHODS, idle_s=0.3))
         await rig.node(lambda: Node(lambda node, stream: node.serve(stream)))
         client = await rig.client()
--- a/tests/grpc/test_hard_cases.py
+++ b/tests/grpc/test_hard_cases.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from tests.grpc.rig import (
+from tests.grpc.rig import ANSWER, METHODS, Node, Rig, run, send_to
+from tests.http2.frames import (
     ACK,
-    ANSWER,
     END_HEADERS,
     END_STREAM,
     GOAWAY,
@@ -17,16 +17,13 @@
     PING,
     RST,
     SETTINGS,
-    Node,
-    Rig,
     frame,
-    framed,
-    run,
-    send_to,
 )
 from wickspread import interface as api
+from wickspread.grpc.message import framed
 from wickspread.grpc.status import Code
 from wickspread.http2.connection import DataReceived, Limits, StreamReset
+from wickspread.operator.file import Grpc
 
 O = api.Outcome  # noqa: E741
 
@@ -296,8 +293,7 @@
         await rig.node(Node)
         client = await rig.client()
         stream = client.call("/t.T/Pay", req_id="abc")
-        while not (rig.made[0] and rig.made[0][0].calls()):
-            await asyncio.sleep(0.005)
+        await rig.reached()
         if how == "reset":
             client.http2.reset(stream, 8)
             client.flush()
@@ -320,8 +316,7 @@
         await rig.node(lambda: Node(lambda node, stream: node.serve(stream, b"second")))
         client = await rig.client()
         old = client.call("/t.T/Pay", req_id="old")
-        while not (rig.made[0] and rig.made[0][0].calls()):
-            await asyncio.sleep(0.005)
+        await rig.reached()
         rig.told(1, api.UpstreamState.DRAINING)
         code, _, data = await client.answer(client.call("/t.T/Pay", req_id="new"))
         assert (code, data) == (0, framed(b"second"))
@@ -389,9 +384,6 @@
 
 def test_over_the_limit_of_the_sidecar_the_call_that_holds_most_is_given_up() -> None:
     async def test() -> None:
-        from tests.grpc.rig import METHODS
-        from wickspread.operator.file import Grpc
-
         rig = Rig(send_to(1), Grpc(True, METHODS, buffered_kib=256))
 
         def script(node: Node, stream: int) -> None:
@@ -486,9 +478,6 @@
 
 def test_a_silent_connection_is_asked_and_then_given_up() -> None:
     async def test() -> None:
-        from tests.grpc.rig import METHODS
-        from wickspread.operator.file import Grpc
-
         rig = Rig(send_to(1), Grpc(True, METHODS, ping_s=0.1))
         await rig.node(lambda: Node(frames=False))  # says nothing at all, not even SETTINGS
         client = await rig.client()
@@ -520,8 +509,7 @@
         await rig.node(Node)
         client = await rig.client()
         stream = client.call("/t.S/Up", b"first", ended=False)
-        while not (rig.made[0] and rig.made[0][0].calls()):
-            await asyncio.sleep(0.005)
+        await rig.reached()
         rig.made[0][0].trailers_only(1, b"9")
         code, trailers, _ = await client.answer(stream)
         assert code == Code.FAILED_PRECONDITION and trailers[b"grpc-retry-pushback-ms"] == b"-1"
--- a/tests/http2/test_connection.py
+++ b/tests/http2/test_connection.py
@@ -11,6 +11,21 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from tests.http2.frames import (
+    CONTINUATION,
+    DATA,
+    END_HEADERS,
+    END_STREAM,
+    GOAWAY,
+    HEADERS,
+    PING,
+    PREFACE,
+    RST,
+    SETTINGS,
+    WINDOW,
+    frame,
+    frames,
+)
 from wickspread.http2.connection import (
     CALM,
     CANCEL,
@@ -28,7 +43,6 @@
 )
 from wickspread.http2.guard import Bucket, Rates
 
-PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 S = 1_000_000
 REQUEST = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", b"/komiks.Purchase/Buy"),
            (b":authority", b"backend"), (b"te", b"trailers"), (b"content-type", b"application/grpc")]
@@ -36,23 +50,6 @@
 TRAILERS = [(b"grpc-status", b"0")]
 # the same request by hand: static table entries and literals without indexing
 RAW_REQUEST = b"\x83\x86\x04\x01/\x01\x01a"
-DATA, HEADERS, RST, SETTINGS, PING, GOAWAY, WINDOW, CONTINUATION = 0, 1, 3, 4, 6, 7, 8, 9
-END_STREAM, END_HEADERS = 1, 4
-
-
-def frame(kind: int, flags: int, stream: int, payload: bytes) -> bytes:
-    return struct.pack(">I", len(payload))[1:] + bytes([kind, flags]) + struct.pack(">I", stream) + payload
-
-
-def frames(data: bytes) -> list[tuple[int, int, int, bytes]]:
-    """Kind, flags, stream and payload of each frame."""
-    found = []
-    data = data.removeprefix(PREFACE)
-    while data:
-        size = int.from_bytes(data[:3], "big")
-        found.append((data[3], data[4], int.from_bytes(data[5:9], "big"), data[9:9 + size]))
-        data = data[9 + size:]
-    return found
 
 
 def move(source: Connection, target: Connection, now_us: int = 0) -> list[Event]:
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -10,11 +10,10 @@
 import asyncio
 import contextlib
 import itertools
-import select
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from wickspread.grpc import health
-from wickspread.grpc.metadata import Headers, Reader, Rejected, acceptable
+from wickspread.grpc.metadata import Headers, Reader, Rejected, acceptable, value_of
 from wickspread.grpc.nodes import Nodes
 from wickspread.grpc.relay import KEPT, OWN_HEADERS, WIDE, Relay
 from wickspread.grpc.status import Code, encode_message
@@ -31,9 +30,11 @@
     StreamReset,
     TrailersReceived,
 )
+from wickspread.http2.endpoint import Endpoint
 from wickspread.sidecar.client import ClientConnection
 from wickspread.sidecar.engine import Call
 from wickspread.sidecar.request import Rejected as HttpRejected
+from wickspread.sidecar.upstream import input_poll
 
 if TYPE_CHECKING:
     from wickspread.sidecar.server import Server
@@ -41,8 +42,6 @@
 START_S = 0.02  # from a call's headers, where its client goes on sending
 LINGER_S = 1.0  # for a client to read its answer
 NOTICE_S = 0.25  # between the GOAWAY that tells and the one that refuses: more than a round trip
-WINDOW = 64 * 1024
-assert WINDOW == KEPT  # a client sends no more than is kept before the rest is asked for
 
 
 class Front:
@@ -53,8 +52,9 @@
         self.reader = reader
         self.nodes = nodes
         self.idle_s = idle_s
-        self.limits = Limits(streams=streams, window=WINDOW, unsent=2 * WIDE,
-                             connection_window=min(streams * WINDOW + WIDE, 1 << 30))
+        # a client sends no more than is kept before the rest is asked for
+        self.limits = Limits(streams=streams, window=KEPT, unsent=2 * WIDE,
+                             connection_window=min(streams * KEPT + WIDE, 1 << 30))
         self.numbers = itertools.count(1)
         self.stamp = b"%x" % (nodes.now_us() & 0xFFFFFFFFFF)
         self.watches: set[tuple[GrpcConnection, int]] = set()
@@ -112,16 +112,14 @@
             self.plain.unparsed = len(self.data)
 
 
-class GrpcConnection(asyncio.Protocol):
+class GrpcConnection(Endpoint):
     """One client's connection. To the server it is as ClientConnection is."""
 
     def __init__(self, front: Front) -> None:
+        super().__init__(Connection(False, front.limits, front.nodes.now_us()), front.server.loop)
         self.front = front
         self.server = front.server
-        self.loop = front.server.loop
         self.idle_s = front.idle_s
-        self.transport: asyncio.Transport | None = None
-        self.http2 = Connection(False, front.limits, front.nodes.now_us())
         self.calls: dict[int, Relay] = {}
         self.starts: dict[int, asyncio.TimerHandle] = {}  # calls that are not taken yet
         self.checks: dict[int, bytearray] = {}  # health requests that are not whole
@@ -129,7 +127,7 @@
         self.finishing: dict[int, float] = {}  # answered, and not read or not ended: till when
         self.sender_open: set[int] = set()  # streams whose client has not ended its side
         self.since = self.loop.time()
-        self.deaf = self.choked = self.scheduled = False
+        self.deaf = False
         self.leaving = 0  # GOAWAYs that were sent: the first tells, the second refuses
         self.asked, self.reading, self.unparsed = True, False, 0
         self.sweeper: asyncio.TimerHandle | None = None
@@ -141,10 +139,6 @@
 
     # The transport
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.schedule()
-
     def connection_lost(self, error: Exception | None) -> None:
         self.server.lost(self)
         self.deaf = True
@@ -154,13 +148,6 @@
         if self.sweeper is not None:
             self.sweeper.cancel()
 
-    def pause_writing(self) -> None:
-        self.choked = True
-
-    def resume_writing(self) -> None:
-        self.choked = False
-        self.schedule()
-
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
@@ -183,24 +170,13 @@
         if not self.pending and not self.deaf:
             self.server.rests(self)
 
-    def schedule(self) -> None:
-        if not self.scheduled:
-            self.scheduled = True
-            self.loop.call_soon(self.flush)
-
     def flush(self) -> None:
-        self.scheduled = False
-        if self.transport is None or self.transport.is_closing():
+        if not self.write():
             return
-        if not self.choked:
-            data = self.http2.outgoing()
-            if data:
-                self.transport.write(data)
         for relay in list(self.slow.values()):
             relay.flushed()
             if relay.bound is None or not relay.bound.owed:
                 del self.slow[relay.stream]
-        again = False
         for stream in list(self.finishing):
             if not self.choked and not self.http2.unsent(stream):
                 del self.finishing[stream]
@@ -208,9 +184,7 @@
                     # the answer is whole; what the client still sends is not wanted (RFC 9113, 8.1)
                     self.sender_open.discard(stream)
                     self.http2.reset(stream, NO_ERROR)
-                    again = True
-        if again:
-            self.schedule()
+                    self.schedule()
 
     # Calls
 
@@ -218,7 +192,7 @@
         stream = event.stream
         if not event.ended:
             self.sender_open.add(stream)
-        path = next((value for name, value in event.headers if name == b":path"), b"")
+        path = value_of(event.headers, b":path")
         if not acceptable(event.headers):
             self.send_headers(stream, [(b":status", b"415")], True)
             self.finish(stream)
@@ -248,9 +222,7 @@
             self.starts[event.stream] = self.loop.call_later(START_S, self.start, relay)
 
     def start(self, relay: Relay) -> None:
-        timer = self.starts.pop(relay.stream, None)
-        if timer is not None:
-            timer.cancel()
+        self.unstart(relay.stream)
         if relay.over or relay.number:
             return
         request = relay.request
@@ -278,16 +250,22 @@
         self.checks.pop(stream, None)
         self.finishing.pop(stream, None)
         self.sender_open.discard(stream)
-        self.slow.pop(stream, None)
         self.front.watches.discard((self, stream))
+        relay = self.over(stream)
+        if relay is not None:
+            relay.gone()
+
+    def over(self, stream: int) -> Relay | None:
+        """Nothing is owed on it any more; the call, if it was one."""
+        self.slow.pop(stream, None)
+        self.unstart(stream)
         relay = self.calls.pop(stream, None)
         if relay is not None:
-            self.unstart(relay)
             self.server.open.discard(relay.request.ident)
-            relay.gone()
+        return relay
 
-    def unstart(self, relay: Relay) -> None:
-        timer = self.starts.pop(relay.stream, None)
+    def unstart(self, stream: int) -> None:
+        timer = self.starts.pop(stream, None)
         if timer is not None:
             timer.cancel()
 
@@ -354,10 +332,7 @@
         self.schedule()
 
     def answered(self, relay: Relay) -> None:
-        self.calls.pop(relay.stream, None)
-        self.slow.pop(relay.stream, None)
-        self.unstart(relay)
-        self.server.open.discard(relay.request.ident)
+        self.over(relay.stream)
         self.finish(relay.stream)
 
     def finish(self, stream: int) -> None:
@@ -386,9 +361,7 @@
             return True
         if self.pending or self.finishing:
             return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not input_poll(self.transport).poll(0)
 
     def backlog(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
--- a/wickspread/grpc/health.py
+++ b/wickspread/grpc/health.py
@@ -4,6 +4,8 @@
 
 import enum
 
+from wickspread.grpc.message import PREFIX, first_size, framed
+
 CHECK, WATCH = b"/grpc.health.v1.Health/Check", b"/grpc.health.v1.Health/Watch"
 MOST_MESSAGE = 4096  # bytes of a HealthCheckRequest
 STRING, VARINT, FIXED64, FIXED32 = 2, 0, 1, 5  # protobuf's wire types
@@ -24,9 +26,9 @@
 
 def service_of(data: bytes) -> str:
     """The service that is asked for: a whole length-prefixed message with field 1. Raises HealthError."""
-    if len(data) < 5 or data[0] != 0 or int.from_bytes(data[1:5], "big") != len(data) - 5:
+    if first_size(data) != len(data) or data[0] != 0:
         raise HealthError("not one plain message")
-    body, at, found = data[5:], 0, b""
+    body, at, found = data[PREFIX:], 0, b""
     while at < len(body):
         tag, at = varint(body, at)
         if tag & 7 == STRING:
@@ -66,16 +68,14 @@
     """A whole length-prefixed HealthCheckRequest, for asking nodes. At most 127 bytes of name."""
     name = service.encode()[:127]
     body = b"\x0a%c%s" % (len(name), name) if name else b""
-    return b"\x00" + len(body).to_bytes(4, "big") + body
+    return framed(body)
 
 
 def response(status: Serving) -> bytes:
     """A whole length-prefixed HealthCheckResponse."""
-    return b"\x00\x00\x00\x00\x02\x08%c" % status
+    return framed(b"\x08%c" % status)
 
 
 def status_of(data: bytes) -> Serving:
     """Of a whole HealthCheckResponse; UNKNOWN for anything else."""
-    if len(data) == 7 and data[:6] == b"\x00\x00\x00\x00\x02\x08" and data[6] <= Serving.SERVICE_UNKNOWN:
-        return Serving(data[6])
-    return Serving.UNKNOWN
+    return next((one for one in Serving if data == response(one)), Serving.UNKNOWN)
--- a/wickspread/grpc/metadata.py
+++ b/wickspread/grpc/metadata.py
@@ -5,20 +5,15 @@
 
 from __future__ import annotations
 
-import hashlib
-import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from wickspread import interface as api
 from wickspread.grpc.deadline import DeadlineError, format_us, parse_us
 from wickspread.grpc.status import Code
+from wickspread.sidecar.request import ANSWER_MARGIN_US, REQ_ID, cost_us, decimal_us, key_number
 
 Headers = list[tuple[bytes, bytes]]
-# The answer is under way, and the loop may be busy, when the client's time is out.
-MARGIN_US = 10_000
-IDENT = re.compile(rb"[0-9A-Za-z_.-]{1,128}\Z")
-COST = re.compile(rb"[0-9]{1,9}\Z")
 ONCE = frozenset({b"req-id", b"idempotency-key", b"req-owner", b"req-key", b"req-cost", b"grpc-timeout",
                   b"grpc-previous-rpc-attempts", b"content-type"})
 # Between two neighbours only, or told anew at each hop.
@@ -104,19 +99,17 @@
         kind = self.settings.classes[class_index]
         timeout_us = self.timeout_us(found, kind)
         ident = found.get(b"req-id", made)
-        if not IDENT.match(ident):
+        if not REQ_ID.match(ident):
             raise Rejected(Code.INVALID_ARGUMENT, "bad req-id")
         keyed = kind.effect == "deduplicated"
         if keyed and not found.get(b"idempotency-key"):
             raise Rejected(Code.INVALID_ARGUMENT, "the class is keyed: idempotency-key is missing")
         if not keyed and b"idempotency-key" in found:
             raise Rejected(Code.INVALID_ARGUMENT, "the idempotency-key contradicts the class")
-        key, cost = found.get(b"req-key", b""), found.get(b"req-cost", b"")
         return Request(
-            path, class_index, now_us + timeout_us - min(MARGIN_US, timeout_us // 4), ident,
+            path, class_index, now_us + timeout_us - min(ANSWER_MARGIN_US, timeout_us // 4), ident,
             self.tenants.get(found.get(b"req-owner", b""), 0),
-            int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "little") if key else 0,
-            min(int(cost), 0xFFFFFFFF) if COST.match(cost) else 0,
+            key_number(found.get(b"req-key", b"")), cost_us(found.get(b"req-cost", b"")),
             found.get(b"grpc-previous-rpc-attempts", b"0") != b"0",
             (*onward, (b"te", b"trailers"), (b"req-id", ident)))
 
@@ -131,9 +124,14 @@
             raise Rejected(Code.INVALID_ARGUMENT, str(error)) from error
 
 
+def value_of(headers: Headers, wanted: bytes) -> bytes:
+    """The first of that name; empty if there is none."""
+    return next((value for name, value in headers if name == wanted), b"")
+
+
 def acceptable(headers: Headers) -> bool:
     """Whether it is gRPC at all; else the answer is HTTP's 415 (gRPC over HTTP2, "Content-Type")."""
-    kind = next((value for name, value in headers if name == b"content-type"), b"")
+    kind = value_of(headers, b"content-type")
     return kind.startswith(b"application/grpc") and kind[16:17] in (b"", b"+", b";")
 
 
@@ -144,6 +142,4 @@
 
 def retry_after_us(head: bytes) -> int:
     """Of the engine's refusal, whose only header line is HTTP/1.1's Retry-After; 0 = none."""
-    text = head.partition(b":")[2].strip()
-    whole, _, part = text.partition(b".")
-    return int(whole) * 1_000_000 + int(part[:6].ljust(6, b"0")) if whole.isdigit() else 0
+    return decimal_us(head.partition(b":")[2].strip()) if head else 0
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import logging
-import select
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, Protocol
 
 from wickspread import interface as api
-from wickspread.grpc.metadata import Headers, Request
+from wickspread.grpc.message import first_size
+from wickspread.grpc.metadata import Headers, Request, value_of
 from wickspread.grpc.outcome import End, Ended
 from wickspread.grpc.relay import WIDE, Finished, Held
 from wickspread.http2.connection import (
@@ -26,13 +25,12 @@
 )
 from wickspread.http2.connection import Ended as ConnectionEnded
 from wickspread.http2.connection import GoawayReceived as Goaway
-from wickspread.sidecar.upstream import LOCAL_ERRORS, Answer, Host, Pool
+from wickspread.http2.endpoint import Endpoint
+from wickspread.sidecar.upstream import LOCAL_ERRORS, Answer, Host, Pool, input_poll
 
 if TYPE_CHECKING:
     from wickspread.sidecar.engine import Engine
 
-log = logging.getLogger("wickspread")
-
 MOST_UNSENT = 64 * 1024  # bytes that wait for a node's window, and no more are handed on
 SWEEP_S = 0.25
 MOST_CONNECTIONS = 8  # to one node; more calls than they hold are turned away
@@ -167,14 +165,12 @@
             return self.source.eager or not self.source.whole
         if self.source.is_bound() or len(unread) >= MOST_UNREAD:
             return True
-        return len(unread) >= 5 and len(unread) >= 5 + int.from_bytes(unread[1:5], "big")
+        size = first_size(unread)
+        return size is not None and len(unread) >= size
 
     def load(self) -> bytes:
         """Its srv-load, if any."""
-        return next((value for name, value in self.trailers or self.headers if name == b"srv-load"), b"")
-
-    def trailers_map(self) -> dict[bytes, bytes]:
-        return dict(self.trailers)
+        return value_of(self.trailers or self.headers, b"srv-load")
 
     # From the connection
 
@@ -222,27 +218,23 @@
 def one_message(data: bytearray) -> bool:
     """At most one. Hazard: of several, a node may work on the first before the last has come, so that a part
     of the request is as good as all of it."""
-    return len(data) < 5 or len(data) == 5 + int.from_bytes(data[1:5], "big")
+    return first_size(data) in (None, len(data))
 
 
-class NodeConnection(asyncio.Protocol):
+class NodeConnection(Endpoint):
     """A connection to a node."""
 
     def __init__(self, nodes: Nodes, host: Host) -> None:
+        super().__init__(Connection(True, LIMITS, nodes.now_us()), nodes.loop)
         self.nodes = nodes
         self.host = host
         self.generation = host.generation
-        self.loop = nodes.loop
-        self.http2 = Connection(True, LIMITS, nodes.now_us())
-        self.transport: asyncio.Transport | None = None
         self.streams: dict[int, Attempt] = {}
         self.waiting: list[Attempt] = []  # for the connection, or for unread input to be read
         self.fresh: list[Attempt] = []  # not all of it is handed to the kernel
         self.partial: dict[Attempt, None] = {}  # more of the request is to come
         self.touched: dict[Attempt, None] = {}  # answers that this read has brought more of
         self.retired = False
-        self.choked = False  # the kernel takes no more for now
-        self.scheduled = False
         self.heard = self.rested = self.loop.time()
         self.asked = 0.0  # when a PING was sent that nothing has followed
 
@@ -272,33 +264,16 @@
     # The transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
+        assert self.transport is not None
         # hazard: what sits in the loop's own buffer can't be taken back; see `fresh`
         self.transport.set_write_buffer_limits(high=0)
-        self.poll = select.poll()
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll = input_poll(transport)
         self.heard = self.loop.time()
-        self.schedule()
-
-    def pause_writing(self) -> None:
-        self.choked = True
-
-    def resume_writing(self) -> None:
-        self.choked = False
-        self.schedule()
-
-    def schedule(self) -> None:
-        if not self.scheduled:
-            self.scheduled = True
-            self.loop.call_soon(self.flush)
 
     def flush(self) -> None:
-        self.scheduled = False
-        if self.transport is None or self.choked or self.transport.is_closing():
+        if not self.write():
             return
-        data = self.http2.outgoing()
-        if data:
-            self.transport.write(data)
         if self.fresh:
             self.fresh = [one for one in self.fresh if not self.is_handed(one)]
         for one in list(self.partial):
@@ -306,7 +281,7 @@
                 del self.partial[one]
             else:
                 one.source.pump()  # there may be room now
-        if self.retired and not self.streams and not self.waiting:
+        if self.retired and self.idle() and self.transport is not None:
             self.transport.close()
 
     def is_handed(self, attempt: Attempt) -> bool:
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -75,7 +75,7 @@
     """A call, from its headers to its one final status. The engine's Carrier for it."""
 
     __slots__ = ("client", "stream", "request", "nodes", "number", "buffer", "base", "whole", "attempts",
-                 "bound", "wide", "verdict", "final", "told", "over", "held", "eager", "__weakref__")
+                 "bound", "wide", "verdict", "final", "told", "over", "held", "eager")
 
     def __init__(self, client: Client, stream: int, request: Request, nodes: Nodes, eager: bool) -> None:
         self.client = client
@@ -215,7 +215,7 @@
                 return outcome, Answer(0, b"", b"", load)
             if verdict.pass_on or self.bound is attempt:
                 # hazard: once a part has gone on, the node's own status is the only one that fits it
-                if b"grpc-status" in attempt.trailers_map():
+                if any(name == b"grpc-status" for name, _ in attempt.trailers):
                     self.final = attempt
                     if verdict.outcome is api.Outcome.OK:
                         return outcome, Answer(200, b"", b"", load)
--- /dev/null
+++ b/wickspread/http2/endpoint.py
@@ -0,0 +1,50 @@
+"""The socket side that all our HTTP/2 connections have in common: one write for all that a round brings."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+from wickspread.http2.connection import Connection
+
+
+class Endpoint(asyncio.Protocol):
+    """A transport under a Connection. Nothing is given to a transport that holds something back, so that
+    little is in doubt when it breaks."""
+
+    def __init__(self, http2: Connection, loop: asyncio.AbstractEventLoop) -> None:
+        self.http2 = http2
+        self.loop = loop
+        self.transport: asyncio.Transport | None = None
+        self.choked = False  # the kernel takes no more for now
+        self.scheduled = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
+        self.schedule()
+
+    def pause_writing(self) -> None:
+        self.choked = True
+
+    def resume_writing(self) -> None:
+        self.choked = False
+        self.schedule()
+
+    def schedule(self) -> None:
+        """Flush when all that this round brings has been dealt with."""
+        if not self.scheduled:
+            self.scheduled = True
+            self.loop.call_soon(self.flush)
+
+    def flush(self) -> None:
+        self.write()
+
+    def write(self) -> bool:
+        """Hand over what there is to send; False where the transport takes nothing now."""
+        self.scheduled = False
+        if self.transport is None or self.choked or self.transport.is_closing():
+            return False
+        data = self.http2.outgoing()
+        if data:
+            self.transport.write(data)
+        return True
--- a/wickspread/lab/clients.py
+++ b/wickspread/lab/clients.py
@@ -149,10 +149,14 @@
         finally:
             self.out -= 1
 
+    def patience(self, load: Load) -> tuple[bool, float]:
+        """Whether a client leaves before its time, and how long it waits."""
+        quits = self.dice.random() < self.manners.quits
+        return quits, load.deadline_s * self.dice.random() if quits else load.deadline_s + GRACE_S
+
     async def answer(self, peer: ClientPeer, data: bytes, request: str, load: Load,
                      reused: bool) -> Reply | None:
-        quits = self.dice.random() < self.manners.quits
-        patience_s = load.deadline_s * self.dice.random() if quits else load.deadline_s + GRACE_S
+        quits, patience_s = self.patience(load)
         waiting = peer.ask(data)
         done, _ = await asyncio.wait([waiting], timeout=patience_s)
         if not done:
--- a/wickspread/lab/grpc.py
+++ b/wickspread/lab/grpc.py
@@ -5,11 +5,12 @@
 import asyncio
 
 from wickspread.grpc.deadline import format_us
+from wickspread.grpc.message import framed
 from wickspread.grpc.status import Code
-from wickspread.lab.clients import GRACE_S, Crowd, Load
+from wickspread.lab.clients import Crowd, Load, Manners
 from wickspread.lab.http1 import Reply, Request
-from wickspread.lab.http2 import ClientPeer, ServerPeer, Stream, framed
-from wickspread.lab.ledger import Answered, Asked, Quit, now_us
+from wickspread.lab.http2 import ClientPeer, ServerPeer, Stream
+from wickspread.lab.ledger import Answered, Asked, Ledger, Quit, now_us
 from wickspread.lab.nodes import Node
 
 SERVICE = b"/lab.Komiks/"
@@ -72,11 +73,14 @@
     """The clients of one sidecar that speak gRPC, on a few connections together."""
 
     tag = "g"
-    channels: list[ClientPeer]
+
+    def __init__(self, ledger: Ledger, sidecar: str, address: tuple[str, int], loads: list[Load],
+                 manners: Manners, seed: int) -> None:
+        super().__init__(ledger, sidecar, address, loads, manners, seed)
+        self.channels: list[ClientPeer] = []
 
     async def channel(self) -> ClientPeer | None:
-        known: list[ClientPeer] = getattr(self, "channels", [])
-        self.channels = [one for one in known if one.usable()]
+        self.channels = [one for one in self.channels if one.usable()]
         for one in self.channels:
             if len(one.streams) < one.http2.most_streams(100):
                 return one
@@ -126,8 +130,7 @@
 
     async def wait(self, peer: ClientPeer, stream: int, future: asyncio.Future[Stream | None], ident: str,
                    load: Load) -> Stream | None:
-        quits = self.dice.random() < self.manners.quits
-        patience_s = load.deadline_s * self.dice.random() if quits else load.deadline_s + GRACE_S
+        quits, patience_s = self.patience(load)
         self.out += 1
         try:
             done, _ = await asyncio.wait([future], timeout=patience_s)
@@ -145,5 +148,5 @@
 
     def close(self) -> None:
         super().close()
-        for one in getattr(self, "channels", []):
+        for one in self.channels:
             one.abort()
--- a/wickspread/lab/http2.py
+++ b/wickspread/lab/http2.py
@@ -4,8 +4,8 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import cast
 
+from wickspread.grpc.message import PREFIX, framed
 from wickspread.http2.connection import (
     CANCEL,
     Connection,
@@ -19,6 +19,7 @@
     StreamReset,
     TrailersReceived,
 )
+from wickspread.http2.endpoint import Endpoint
 from wickspread.http2.guard import Rates
 from wickspread.lab.ledger import now_us
 
@@ -26,11 +27,6 @@
                 rates=Rates(1e9, 1e9, 1e9, 1e9, 1e9))
 
 
-def framed(body: bytes) -> bytes:
-    """One message, not compressed (gRPC over HTTP2, Length-Prefixed-Message)."""
-    return b"\x00" + len(body).to_bytes(4, "big") + body
-
-
 @dataclass(slots=True)
 class Stream:
     """What has come on one."""
@@ -42,35 +38,20 @@
     reset: int | None = None  # the code, if it was
 
     def message(self) -> bytes:
-        return bytes(self.data[5:])
+        return bytes(self.data[PREFIX:])
 
 
-class Http2Peer(asyncio.Protocol):
+class Http2Peer(Endpoint):
     """What both sides have in common."""
 
     client = False
 
     def __init__(self) -> None:
-        self.http2 = Connection(self.client, LIMITS, now_us())
-        self.transport: asyncio.Transport | None = None
+        super().__init__(Connection(self.client, LIMITS, now_us()), asyncio.get_running_loop())
         self.streams: dict[int, Stream] = {}
-        self.scheduled = self.lost = False
+        self.lost = False
         self.refused_above: int | None = None  # by a GOAWAY
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        self.schedule()
-
-    def schedule(self) -> None:
-        if not self.scheduled:
-            self.scheduled = True
-            asyncio.get_running_loop().call_soon(self.flush)
-
-    def flush(self) -> None:
-        self.scheduled = False
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(self.http2.outgoing())
-
     def data_received(self, data: bytes) -> None:
         for event in self.http2.receive(data, now_us()):
             self.take(event)
--- a/wickspread/sidecar/client.py
+++ b/wickspread/sidecar/client.py
@@ -5,14 +5,13 @@
 import asyncio
 import http
 import logging
-import select
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
 import httptools
 
 from wickspread.sidecar.request import Rejected
-from wickspread.sidecar.upstream import MAX_BODY, MAX_HEAD
+from wickspread.sidecar.upstream import MAX_BODY, MAX_HEAD, input_poll
 
 if TYPE_CHECKING:
     from wickspread.sidecar.server import Server
@@ -110,9 +109,7 @@
         """Hazard: a request may be waiting unread; closing on top of it would lose it for the client."""
         if self.transport is None or self.transport.is_closing():
             return True
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not input_poll(self.transport).poll(0)
 
     def backlog(self) -> bool:
         return self.transport is not None and self.transport.get_write_buffer_size() > 0
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -124,16 +124,13 @@
             self.tell(api.RequestGone(ident))
 
     def overdue(self, ident: int) -> None:
-        entry = self.requests.get(ident)
-        if entry is not None and not entry.answered:
-            self.answer(ident, 504)
-            self.tell(api.RequestGone(ident))
+        self.give_up(ident, 504)
 
-    def give_up(self, ident: int) -> None:
+    def give_up(self, ident: int, status: int = 502) -> None:
         """The sidecar itself can't go on with a request."""
         entry = self.requests.get(ident)
         if entry is not None and not entry.answered:
-            self.answer(ident, 502)
+            self.answer(ident, status)
             self.tell(api.RequestGone(ident))
 
     # From discovery
@@ -170,7 +167,7 @@
             # hazard: a fault in the decisions costs the request that it met, never the sidecar
             log.exception("the decisions failed on %s", type(event).__name__)
             if isinstance(event, api.RequestArrived | api.AttemptEnded | api.StreamStarted):
-                self.abort(event.request)
+                self.give_up(event.request)
             return
         for action in actions:
             try:
@@ -178,13 +175,7 @@
             except Exception:
                 log.exception("the action %s failed", type(action).__name__)
                 if isinstance(action, api.Send | api.Refuse | api.Fail):
-                    self.abort(action.request)
-
-    def abort(self, ident: int) -> None:
-        entry = self.requests.get(ident)
-        if entry is not None and not entry.answered:
-            self.answer(ident, 502)
-            self.events.append(api.RequestGone(ident))
+                    self.give_up(action.request)
 
     def perform(self, action: api.Action) -> None:
         wire.check_allowed(self.settings, action)
--- a/wickspread/sidecar/request.py
+++ b/wickspread/sidecar/request.py
@@ -32,6 +32,16 @@
     return int(whole) * 1_000_000 + int(part[:6].ljust(6, b"0") or b"0")
 
 
+def key_number(key: bytes) -> int:
+    """What a request is about, as the decisions know it; 0 = nothing is told."""
+    return int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "little") if key else 0
+
+
+def cost_us(text: bytes) -> int:
+    """A guess at the work; 0 for one that can't be read."""
+    return min(int(text), 0xFFFFFFFF) if COST.match(text) else 0
+
+
 class Reader:
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
@@ -69,8 +79,6 @@
         if effect == "idempotent" and body:
             raise Rejected(400, "a body where the class has none")
         tenant = self.tenants.get(found.get(b"req-owner", b""), 0)
-        cost = found.get(b"req-cost", b"")
-        key = parts[-1] if len(parts) > 1 else b""
         length = b"Content-Length: %d\r\n" % len(body) if method == b"POST" else b""
         return Call(
             class_index=class_index,
@@ -82,7 +90,7 @@
                                              if b"connection" in found else b"".join(lines), length),
             body=body,
             tenant=tenant,
-            key=int.from_bytes(hashlib.blake2b(key, digest_size=8).digest(), "little") if key else 0,
-            cost_us=min(int(cost), 0xFFFFFFFF) if COST.match(cost) else 0,
+            key=key_number(parts[-1]) if len(parts) > 1 else 0,
+            cost_us=cost_us(found.get(b"req-cost", b"")),
             retried=found.get(b"req-retry") == b"1",
         )
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -87,6 +87,13 @@
         self.finish(api.Outcome.TIMEOUT)
 
 
+def input_poll(transport: asyncio.BaseTransport) -> select.poll:
+    """Its poll(0) tells whether something waits unread."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return poll
+
+
 class Shared(Protocol):
     """A connection that carries many streams, beside those that carry one exchange at a time."""
 
@@ -136,8 +143,7 @@
         # hazard: by default a request may sit in the loop's own buffer; with no buffer allowed, write()
         # hands it to the kernel at once, and resume_writing() tells when a rest of it has followed
         self.transport.set_write_buffer_limits(high=0)
-        self.poll = select.poll()
-        self.poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.poll = input_poll(transport)
 
     def usable(self) -> bool:
         """Hazard: an upstream's close may be waiting unread; a request written after it is a reset."""
