A door for operators: figures, upstreams suspended by hand, drains, an inherited listener

wickspread/operations has the door (a line protocol), the figures, the suspensions, which are one more and the most careful word on membership, and the folder by which they outlive the process; the server drains, and takes the listener of PROXY_ACCEPT_FD. A list kind HELD tells the decisions of a hand's change without answering for discovery.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -233,11 +233,13 @@
     """`run` of the deploy file, ready."""
 
     def __init__(self, upstreams: list[Upstream], discovery: Discovery | None = None,
-                 before: str = "", known: list[dict[str, Any]] | None = None, **options: Any) -> None:
+                 before: str = "", known: list[dict[str, Any]] | None = None,
+                 env: dict[str, str] | None = None, **options: Any) -> None:
         entries = [upstream.entry() for upstream in upstreams] if known is None else known
         self.discovery = discovery or Discovery(entries)
         self.own_discovery = discovery is None
         self.before = before
+        self.env = env or {}
         self.config = {"seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
                        # time enough for what tests hold back
                        "settings": settings(**{"request-classes.1.deadline": "20000000"} | options),
@@ -250,7 +252,7 @@
         self.path.write_text(json.dumps(self.config))
         env = {k: v for k, v in os.environ.items() if not k.startswith(("PYTHON", "VIRTUAL_ENV"))}
         env |= {"PROXY_NAME": "n0", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(self.path),
-                "PROXY_DISCOVERY": self.discovery.address}
+                "PROXY_DISCOVERY": self.discovery.address} | self.env
         self.process = subprocess.Popen(["/bin/sh", "-c", self.before + DEPLOY["run"]], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True)
         threading.Thread(target=self.read_log, daemon=True).start()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -339,7 +339,7 @@
         return None
 
     with (Upstream(script=script) as upstream,
-          Sidecar([upstream], None, "", None, **{"request-classes.1.deadline": "600000"}) as sidecar):
+          Sidecar([upstream], None, "", None, None, **{"request-classes.1.deadline": "600000"}) as sidecar):
         assert sidecar.request("POST", "/pay/7", b"x", Req_Deadline="999999999").status in (502, 504)
         quiet.set()
 
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -429,6 +429,13 @@
     def troubled(self, server: Server) -> bool:
         return server.failing >= SUSPECT or server.slots.window < 0.25
 
+    def avoided(self) -> int:
+        """How many of those listed get nothing now, or next to nothing."""
+        ready = api.UpstreamState.READY
+        return (sum(entry.state is not ready for entry in self.entries.values())
+                + sum(server.entry.state is ready and server.seat is not None and self.troubled(server)
+                      for server in self.servers.values()))
+
     def new_server(self, entry: api.Upstream) -> Server:
         # hazard: after a restart beside one other, all that came meanwhile comes at once; where all start
         # together it crowds a little, till slow answers close the second slots
@@ -572,12 +579,12 @@
             self.list_failures += 1
             self.ask_list_at(self.now_us + int(wait_us * (0.5 + self.random.random() / 2)))
             return
-        if event.kind is not api.ListKind.CACHED:  # answered
+        if event.kind in (api.ListKind.FULL, api.ListKind.DELTA):  # answered
             self.list_failures = self.ask_list_us = 0
         was_on = self.subset.on
         for entry in event.upstreams:
             self.on_entry(entry)
-        if event.kind is not api.ListKind.DELTA:
+        if event.kind in (api.ListKind.FULL, api.ListKind.CACHED):
             listed = {entry.id for entry in event.upstreams}
             for entry in [entry for ident, entry in self.entries.items() if ident not in listed]:
                 self.on_entry(replace(entry, state=api.UpstreamState.GONE))
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -70,12 +70,12 @@
     def serving(self, service: str) -> health.Serving:
         if service and service not in self.reader.methods.services:
             return health.Serving.SERVICE_UNKNOWN
-        return health.Serving.NOT_SERVING if self.server.stopping else health.Serving.SERVING
+        return health.Serving.SERVING if self.server.ready else health.Serving.NOT_SERVING
 
-    def stops(self) -> None:
-        """Those who watch are told that the end is near."""
+    def tell(self) -> None:
+        """Those who watch are told that we drain, end or are back."""
         for connection, stream in list(self.watches):
-            connection.send_data(stream, health.response(health.Serving.NOT_SERVING))
+            connection.send_data(stream, health.response(self.serving("")))
 
 
 class Sniffer(asyncio.Protocol):
--- a/wickspread/interface.py
+++ b/wickspread/interface.py
@@ -38,6 +38,7 @@
     DELTA = "delta"  # changed entries only
     FULL = "full"  # the complete list
     CACHED = "cached"  # the complete list as last known, possibly outdated
+    HELD = "held"  # changed entries only, by an operator's hand; discovery has said nothing
     FAILED = "failed"  # a call failed or the subscription broke; the list stays as it was
 
 
--- /dev/null
+++ b/wickspread/operations/__init__.py
@@ -0,0 +1,1 @@
+"""What people do to a running sidecar: the door for operators, figures, suspensions, drains, upgrades."""
--- /dev/null
+++ b/wickspread/operations/door.py
@@ -0,0 +1,114 @@
+"""The door for operators: one line a connection, one answer, at once. A thin shell; the calls are `Hand`'s.
+
+A call's answer begins with `done` or `error`; METRICS tells the figures and then a line `end`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from typing import cast
+
+from wickspread.sidecar.config import Address
+
+log = logging.getLogger("wickspread")
+
+MOST_LINE = 1024  # bytes
+MOST_CALLERS = 24  # together; the one that has been silent for longest makes room
+PATIENCE_S = 5.0  # some callers say nothing, or half a call, and stay
+Call = Callable[[str], str]  # the line's argument to the answer, without its line break
+
+
+class CallError(Exception):
+    """The call can't be done; one line."""
+
+
+class Door:
+    """The listener and those who call."""
+
+    def __init__(self, calls: Mapping[str, Call]) -> None:
+        self.calls = calls
+        self.callers: dict[Caller, None] = {}  # the one that came first comes first
+        self.server: asyncio.Server | None = None
+
+    async def open(self, address: Address) -> Address:
+        """Raises OSError where the address can't be listened on."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: Caller(self), address[0].strip("[]"), address[1])
+        bound: Address = self.server.sockets[0].getsockname()[:2]
+        return bound
+
+    def enter(self, caller: Caller) -> None:
+        self.callers[caller] = None
+        if len(self.callers) > MOST_CALLERS:
+            next(iter(self.callers)).end()
+
+    def answer(self, line: bytes) -> bytes:
+        """What a whole line is answered with; never raises."""
+        word, _, argument = line.decode("utf-8", "replace").strip().partition(" ")
+        call = self.calls.get(word.upper())
+        if call is None:
+            return b"error: expected one of %s\n" % ", ".join(self.calls).encode()
+        try:
+            return call(argument.strip()).encode() + b"\n"
+        except CallError as error:
+            return b"error: %s\n" % str(error).encode()
+        except Exception:
+            # hazard: a fault in one call must not cost the sidecar, nor leave the caller without an answer
+            log.exception("the call %s failed", word[:20])
+            return b"error: a fault of the sidecar's; its log has it\n"
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for caller in list(self.callers):
+            caller.end()
+
+
+class Caller(asyncio.Protocol):
+    """One connection, one line."""
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.text = b""
+        self.answered = False
+        self.transport: asyncio.Transport | None = None
+        self.patience: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
+        self.patience = asyncio.get_running_loop().call_later(PATIENCE_S, self.end)
+        self.door.enter(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.answered or self.transport is None:
+            return
+        self.text += data[:MOST_LINE + 1]
+        line, found, _ = self.text.partition(b"\n")
+        if found and len(line) <= MOST_LINE:
+            self.say(self.door.answer(line))
+        elif len(self.text) > MOST_LINE:
+            self.say(b"error: a line too long\n")
+
+    def eof_received(self) -> bool:
+        """A caller may end its side in place of a line break."""
+        if not self.answered and self.text:
+            self.say(self.door.answer(self.text))
+        return False
+
+    def say(self, answer: bytes) -> None:
+        assert self.transport is not None
+        self.answered = True
+        self.transport.write(answer)
+        self.transport.close()
+
+    def end(self) -> None:
+        self.door.callers.pop(self, None)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.door.callers.pop(self, None)
+        if self.patience is not None:
+            self.patience.cancel()
--- /dev/null
+++ b/wickspread/operations/hand.py
@@ -0,0 +1,123 @@
+"""What operators' calls do: suspend and restore an upstream, drain the sidecar, tell state and figures."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Protocol
+
+from wickspread import interface as api
+from wickspread.operations.door import Call, CallError
+from wickspread.operations.handover import Handover
+from wickspread.operations.suspended import Suspended, Unknown
+from wickspread.sidecar.engine import Engine
+from wickspread.sidecar.listing import Directory
+from wickspread.sidecar.upstream import Host
+
+log = logging.getLogger("wickspread")
+
+LOOK_S = 0.1  # at what another process of this sidecar has written
+
+
+class Drained(Protocol):
+    """The application's side."""
+
+    def drain(self) -> None: ...
+
+    def undrain(self) -> None: ...
+
+
+class Hand:
+    """By hand: the calls and the state behind them."""
+
+    def __init__(self, engine: Engine, directory: Directory, server: Drained, handover: Handover) -> None:
+        self.engine = engine
+        self.directory = directory
+        self.server = server
+        self.handover = handover
+        self.suspended = Suspended()
+        self.serving = False  # clients are taken
+        self.looks: Callable[[], None] | None = None  # called with each look
+        self.suspended.replace(handover.read() or ())
+        engine.hold = self.hold
+        self.timer = engine.loop.call_later(LOOK_S, self.look)
+
+    def calls(self) -> dict[str, Call]:
+        return {"STATUS": self.status, "METRICS": self.metrics, "SUSPEND": self.suspend,
+                "RESTORE": self.restore, "PAUSE": self.pause, "RESUME": self.resume}
+
+    # The calls
+
+    def status(self, _: str) -> str:
+        if not self.serving:
+            raise CallError("clients are not taken yet")
+        return "done"
+
+    def metrics(self, _: str) -> str:
+        return "\n".join([*self.engine.figures.lines(*self.engine.members()), "end"])
+
+    def suspend(self, name: str) -> str:
+        try:
+            self.suspended.check(name)
+        except Unknown as error:
+            raise CallError(str(error)) from error
+        # hazard: kept before it is in force; a successor that starts now must not miss it
+        kept = self.handover.put(name)
+        self.apply(self.suspended.names | {name})
+        log.info("upstream %s is suspended by hand", name)
+        return "done" if kept else "done, for this process alone"
+
+    def restore(self, name: str) -> str:
+        try:
+            self.suspended.check(name)
+        except Unknown as error:
+            raise CallError(str(error)) from error
+        kept = self.handover.take(name)
+        self.apply(self.suspended.names - {name})
+        log.info("upstream %s is restored by hand", name)
+        return "done" if kept else "done, for this process alone"
+
+    def pause(self, _: str) -> str:
+        self.server.drain()
+        return "done"
+
+    def resume(self, _: str) -> str:
+        self.server.undrain()
+        return "done"
+
+    # What is suspended
+
+    def apply(self, names: set[str]) -> None:
+        """From now on these are held out. The decisions are told of those for which that has changed."""
+        known = self.engine.known()
+        hosts = []
+        for name in self.suspended.replace(names):
+            host = known.get(self.directory.numbers.get(name, -1))
+            if host is not None and host.told is not None:
+                hosts.append(Host(host.told, host.dial, host.dial_grpc))
+        if hosts:
+            self.engine.list_changed(api.ListKind.HELD, hosts, 0)
+
+    def hold(self, hosts: list[Host]) -> None:
+        """What a list says, on its way to the decisions: suspended upstreams drain, whatever it says."""
+        for host in hosts:
+            name = self.directory.names.get(host.entry.id, "")
+            if name:
+                self.suspended.listed(name)
+            if name in self.suspended.names and host.entry.state is api.UpstreamState.READY:
+                host.entry = replace(host.entry, state=api.UpstreamState.DRAINING)
+
+    def look(self) -> None:
+        """Another process of this sidecar may have been told more."""
+        self.timer = self.engine.loop.call_later(LOOK_S, self.look)
+        if self.handover.changed():
+            names = self.handover.read()
+            if names is not None:
+                self.apply(names)
+        if self.looks is not None:
+            self.looks()
+
+    def close(self) -> None:
+        self.timer.cancel()
+        self.handover.close()
--- /dev/null
+++ b/wickspread/operations/handover.py
@@ -0,0 +1,141 @@
+"""What two processes of one sidecar share in $TMPDIR: who serves, and which upstreams are suspended.
+
+A suspension is a file of its own, named by a digest and holding the upstream's name; it is put there by a
+rename and taken away by an unlink. So a process that is killed at any step leaves the old or the new state,
+and no two of them ever write the same file. `serving` is locked by the one that serves while it lives.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import hashlib
+import logging
+import os
+from collections.abc import Mapping
+from pathlib import Path
+
+from wickspread.operations.suspended import MOST_NAME, MOST_SUSPENDED
+
+log = logging.getLogger("wickspread")
+
+FOLDER = "wickspread"
+PART = ".part"
+
+
+class Handover:
+    """The folder; with none (no $TMPDIR, or it can't be written) nothing outlives the process."""
+
+    def __init__(self, folder: Path | None) -> None:
+        self.folder = folder
+        self.seen: tuple[int, int] | None = None  # of the folder of suspensions, as last read
+        self.lock: int | None = None
+        if folder is not None:
+            try:
+                (folder / "suspended").mkdir(parents=True, exist_ok=True)
+            except OSError as error:
+                log.warning("suspensions can't be kept for a next process: %s", error)
+                self.folder = None
+
+    @classmethod
+    def of(cls, env: Mapping[str, str]) -> Handover:
+        """As the environment names it."""
+        path = env.get("TMPDIR", "")
+        return cls(Path(path) / FOLDER if path else None)
+
+    # Who serves
+
+    def alone(self) -> bool:
+        """No other process of this sidecar serves; from now on this one does. Asked again, it may change."""
+        if self.folder is None or self.lock is not None:
+            return True
+        try:
+            handle = os.open(self.folder / "serving", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError:
+            return True
+        try:
+            fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(handle)
+            return False
+        self.lock = handle
+        return True
+
+    def come(self) -> None:
+        """Tell the process that serves that its successor is there."""
+        if self.folder is not None:
+            with contextlib.suppress(OSError):
+                (self.folder / f"next-{os.getpid()}").touch()
+
+    def succeeded(self) -> bool:
+        """Another process than this one has come."""
+        if self.folder is None:
+            return False
+        own = f"next-{os.getpid()}"
+        try:
+            return any(name.startswith("next-") and name != own for name in os.listdir(self.folder))
+        except OSError:
+            return False
+
+    def close(self) -> None:
+        if self.folder is not None:
+            with contextlib.suppress(OSError):
+                (self.folder / f"next-{os.getpid()}").unlink(missing_ok=True)
+        if self.lock is not None:
+            os.close(self.lock)
+            self.lock = None
+
+    # Suspensions
+
+    def put(self, name: str) -> bool:
+        """Keep a suspension. False if it could not be kept."""
+        return self.change(name, True)
+
+    def take(self, name: str) -> bool:
+        """A suspension is over. False if it may come back with the next process."""
+        return self.change(name, False)
+
+    def change(self, name: str, there: bool) -> bool:
+        if self.folder is None:
+            return False
+        data = name.encode()
+        path = self.folder / "suspended" / hashlib.blake2b(data, digest_size=16).hexdigest()
+        part = path.with_name(f"{path.name}.{os.getpid()}{PART}")
+        try:
+            if there:
+                part.write_bytes(data)
+                part.replace(path)
+            else:
+                path.unlink(missing_ok=True)
+        except OSError as error:
+            log.warning("a suspension can't be kept for a next process: %s", error)
+            return False
+        return True
+
+    def changed(self) -> bool:
+        """The suspensions may be others than when they were read last; costs one look at the folder."""
+        if self.folder is None:
+            return False
+        try:
+            found = os.stat(self.folder / "suspended")
+        except OSError:
+            return False
+        return self.seen != (found.st_mtime_ns, found.st_ino)
+
+    def read(self) -> set[str] | None:
+        """The names that are suspended; None if nobody can tell."""
+        if self.folder is None:
+            return None
+        path, names = self.folder / "suspended", set()
+        try:
+            # hazard: noted after the reading, a change meanwhile would go unseen
+            found = os.stat(path)
+            for one in os.listdir(path)[:MOST_SUSPENDED]:
+                if not one.endswith(PART):
+                    with contextlib.suppress(FileNotFoundError):  # taken back just now
+                        names.add((path / one).read_bytes()[:4 * MOST_NAME].decode("utf-8", "replace"))
+        except OSError as error:
+            log.warning("suspensions can't be read: %s", error)
+            return None
+        self.seen = found.st_mtime_ns, found.st_ino
+        return names
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -12,6 +12,9 @@
 import uvloop
 
 from wickspread import interface as api
+from wickspread.operations.door import Door
+from wickspread.operations.hand import Hand
+from wickspread.operations.handover import Handover
 from wickspread.operator import file as operators
 from wickspread.sidecar import config as configuration
 from wickspread.sidecar.collector import Collector
@@ -45,31 +48,43 @@
         except ModuleNotFoundError as error:
             raise operators.OperatorError(f"grpc.enabled: needs the `grpc` extra; no {error.name}") from error
         nodes = start_grpc(operator.grpc, engine, server)
+    hand, door = None, None
+    if config.door is not None:
+        hand = Hand(engine, directory, server, Handover.of(os.environ))
+        door = Door(hand.calls())
+        await door.open(config.door)
     engine.list_changed(api.ListKind.CACHED, known, version)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         engine.loop.add_signal_handler(number, stop.set)
-    engine.loop.add_signal_handler(signal.SIGHUP, reload, discovery)
+    engine.loop.add_signal_handler(signal.SIGHUP, reload, discovery, engine)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    host, port = server.listen(config.listen)
+    host, port = server.listen(config.listen, config.accept_fd)
+    if hand is not None:
+        hand.serving = True
     discovery.collector = Collector()
     log.info("%s listens on %s:%d", config.name, host, port)
     await stop.wait()
     await server.stop()
     discovery.close()
+    if door is not None and hand is not None:
+        door.close()
+        hand.close()
     if nodes is not None:
         nodes.close()
     pool.close()
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
 
-def reload(discovery: Discovery) -> None:
+def reload(discovery: Discovery, engine: Engine) -> None:
     """SIGHUP. Only the address of discovery is taken over; the rest of the file waits for a restart."""
     try:
         address = configuration.load(os.environ).discovery
     except configuration.ConfigError as error:
+        engine.figures.reload_errors += 1
         log.warning("the new configuration is not taken: %s", error)
         return
+    engine.figures.reloads += 1
     log.info("the configuration is read again; discovery is at %s:%d", *address)
     discovery.move(address)
 
--- a/wickspread/sidecar/config.py
+++ b/wickspread/sidecar/config.py
@@ -27,6 +27,8 @@
     sockets: int  # file descriptors that this process may hold
     settings: api.Settings
     known: dict[str, Any]  # the list as this sidecar last had it, in discovery's form
+    door: Address | None = None  # where operators call; None = nowhere
+    accept_fd: int | None = None  # the clients' listening socket, inherited; None = it is opened here
 
 
 def parse_address(text: object) -> Address:
@@ -64,6 +66,9 @@
     if missing:
         raise ConfigError(f"{missing[0]} is not set")
     path = env["PROXY_CONFIG"]
+    inherited = env.get("PROXY_ACCEPT_FD", "")
+    if inherited and not (inherited.isascii() and inherited.isdigit() and len(inherited) < 7):
+        raise ConfigError(f"PROXY_ACCEPT_FD: expected a descriptor, got {inherited!r}")
     try:
         with open(path, "rb") as file:
             told = json.load(file)
@@ -74,6 +79,7 @@
         known = told.get("known", {"seq": 0, "whole": True, "hosts": []})
         if not isinstance(known, dict) or not isinstance(told["settings"], dict):
             raise ConfigError("expected objects in 'known' and 'settings'")
+        door = env.get("PROXY_MGMT") or told.get("mgmt")
         return Config(
             name=env["PROXY_NAME"],
             listen=parse_address(env["PROXY_LISTEN"]),
@@ -83,6 +89,8 @@
             sockets=min(int(limits.get("sockets", 1024)), soft),
             settings=wire.parse_settings("\n".join(options(told["settings"]))),
             known=known,
+            door=parse_address(door) if door else None,
+            accept_fd=int(inherited) if inherited else None,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from error
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -17,10 +17,13 @@
 from wickspread import interface as api
 from wickspread import wire
 from wickspread.balance import Balancer
+from wickspread.operations.figures import Figures
 from wickspread.sidecar.upstream import Answer, Exchange, Host, Pool
 
 log = logging.getLogger("wickspread")
 
+NEVER_WRITTEN = (api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT, api.Outcome.CANCELLED)
+
 
 class Clock:
     """Microseconds that only go forward, counted from Unix time at the start: so the list's born_ms is on
@@ -103,6 +106,8 @@
         self.events: deque[api.Event] = deque()
         self.handling = False
         self.probes: Callable[[int, ProbeEnd, float], None] | None = None  # in place of HTTP/1.1's
+        self.figures = Figures(one.name for one in settings.classes)
+        self.hold: Callable[[list[Host]], None] | None = None  # by operators' hands: may make entries drain
 
     # From the application
 
@@ -110,6 +115,7 @@
         """Take a request. Its answer may come before this returns."""
         ident, self.next_request = self.next_request, self.next_request % 0xFFFFFFFF + 1
         entry = self.requests[ident] = Entry(call, reply)
+        self.figures.taken()
         # hazard: whatever the decisions do, the client is answered inside its time
         entry.guard = self.later(call.due_us, self.overdue, ident)
         self.tell(api.RequestArrived(ident, call.due_us, call.class_index, call.tenant, call.key,
@@ -120,7 +126,7 @@
         """The client has closed its connection."""
         entry = self.requests.get(ident)
         if entry is not None and not entry.answered:
-            self.settle(ident, entry)
+            self.settle(ident, entry, 0)
             self.tell(api.RequestGone(ident))
 
     def overdue(self, ident: int) -> None:
@@ -136,7 +142,11 @@
     # From discovery
 
     def list_changed(self, kind: api.ListKind, hosts: list[Host], version: int) -> None:
-        self.pool.update(hosts, whole=kind is not api.ListKind.DELTA)
+        if self.hold is not None:
+            for host in hosts:
+                host.told = host.entry
+            self.hold(hosts)
+        self.pool.update(hosts, whole=kind in (api.ListKind.FULL, api.ListKind.CACHED))
         self.tell(api.UpstreamsUpdated(kind, [host.entry for host in hosts], version))
 
     def list_failed(self) -> None:
@@ -145,6 +155,11 @@
     def known(self) -> dict[int, Host]:
         return self.pool.hosts
 
+    def members(self) -> tuple[int, int]:
+        """How many upstreams are listed, and how many of them get nothing now, by hand or by choice."""
+        listed = sum(host.entry.state is not api.UpstreamState.GONE for host in self.pool.hosts.values())
+        return listed, self.balancer.avoided()
+
     # Events and actions
 
     def tell(self, event: api.Event) -> None:
@@ -249,6 +264,8 @@
         def ended(outcome: api.Outcome, answer: Answer | None) -> None:
             entry.attempts[attempt] = None
             entry.out -= 1
+            if call.carrier is not None and outcome not in NEVER_WRITTEN:
+                self.figures.upstream_requests += 1
             if outcome is api.Outcome.OK and answer is not None:
                 self.answer(ident, 200, answer.head, answer.body)
             elif answer is not None and 400 <= answer.status < 500 and answer.status not in (408, 425, 429):
@@ -273,7 +290,7 @@
             carried = entry.attempts[attempt] = call.carrier.attempt(left_us, ended, began)
             carried.start(action.upstream, timeout_us / 1e6)
             return
-        exchange = entry.attempts[attempt] = Exchange(render, ended)
+        exchange = entry.attempts[attempt] = Exchange(render, ended, self.figures.wrote)
         self.pool.start(action.upstream, exchange, timeout_us / 1e6)
 
     def probe(self, upstream: int) -> None:
@@ -301,7 +318,7 @@
         """The one place of final answers: the first stands, a later one is dropped."""
         entry = self.requests.get(ident)
         if entry is not None and not entry.answered:
-            self.settle(ident, entry)
+            self.settle(ident, entry, status)
             try:
                 entry.reply(status, head, body)
             except Exception:
@@ -309,8 +326,9 @@
                 # not, its slot would stay taken for good
                 log.exception("an answer could not be written")
 
-    def settle(self, ident: int, entry: Entry) -> None:
+    def settle(self, ident: int, entry: Entry, status: int) -> None:
         entry.answered = True
+        self.figures.answered(entry.call.class_index, status)
         if entry.guard is not None:
             entry.guard.cancel()
         if entry.out == 0:
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -21,6 +21,7 @@
 SWEEP_S = 0.2
 WHOLE_S = 2.2  # from its accept to its first whole request, and for each later one from its first byte
 YOUNG_S = 0.05  # a connection's first request follows its accept; the loop may be busy meanwhile
+DRAIN_NOTICE_S = 0.4  # the front asks ten times a second, and sends new connections for 0.2 s after a no
 ACCEPT_AFTER_STOP_S = 0.5  # new connections go on coming for up to 0.4 s after SIGTERM
 LOOK_S = 0.01
 FLUSH_S = 1.0
@@ -71,13 +72,25 @@
         self.listening = False
         self.front: Front | None = None  # of gRPC, where that is on
         self.stopping = self.closing = False
+        self.inherited = False  # the listener is shared with other processes
+        self.drained: asyncio.Task[None] | None = None
         self.next_complaint = 0.0
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
 
-    def listen(self, address: Address) -> Address:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self.listener = socket.create_server((address[0].strip("[]"), address[1]), family=family,
-                                             backlog=BACKLOG)
+    @property
+    def ready(self) -> bool:
+        """New connections are wanted."""
+        return not self.stopping and self.drained is None
+
+    def listen(self, address: Address, inherited: int | None = None) -> Address:
+        """Take clients at the address, or by the listening socket that the platform gave. Raises OSError."""
+        self.inherited = inherited is not None
+        if inherited is not None:
+            self.listener = socket.socket(fileno=inherited)
+        else:
+            family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+            self.listener = socket.create_server((address[0].strip("[]"), address[1]), family=family,
+                                                 backlog=BACKLOG)
         self.listener.setblocking(False)
         self.resume()
         bound: Address = self.listener.getsockname()[:2]
@@ -196,7 +209,7 @@
     def take(self, one: Pending, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
              body: bytes) -> None:
         if target == b"/ready" and method == b"GET":
-            one.reply(503 if self.stopping else 200)
+            one.reply(200 if self.ready else 503)
             return
         call = self.reader.read(method, target, headers, body, self.engine.clock.now_us())
         if call.ident in self.open:
@@ -206,15 +219,51 @@
         self.open.add(call.ident)
         one.request = self.engine.accept(call, one.reply)
 
+    # Drains
+
+    def drain(self) -> None:
+        """Clients are sent elsewhere until `undrain`: first no new connections, then none at all."""
+        if self.drained is None and not self.stopping:
+            self.drained = self.loop.create_task(self.empty())
+            self.tell_front()
+
+    def undrain(self) -> None:
+        if self.drained is not None and not self.stopping:
+            self.drained.cancel()
+            self.drained = None
+            self.closing = False
+            self.tell_front()
+
+    def tell_front(self) -> None:
+        if self.front is not None:
+            self.front.tell()
+
+    async def empty(self) -> None:
+        """A drain: who has no request under way is let go as soon as new connections have ceased to come, and
+        each answer ends its connection. New ones still are served, once each."""
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        self.closing = True
+        while True:
+            old = self.loop.time() - DRAIN_NOTICE_S
+            for connection in list(self.connections):
+                connection.leave()
+                if not connection.pending and not connection.deaf and not connection.reading and (
+                        connection.asked or (connection.since <= old and not connection.unparsed)
+                        ) and connection.quiet():
+                    self.drop(connection)
+            await asyncio.sleep(LOOK_S)
+
     async def stop(self) -> None:
         """A planned restart: what was taken is finished, and nobody is cut off on the way here. Until new
         connections have ceased to come, the old ones are served as ever: who waits for us to be back has
         nowhere to go."""
         self.stopping = True
-        if self.front is not None:
-            self.front.stops()
-        await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-        self.accept()  # hazard: what still waits in the backlog is reset with the listener, and lost
+        if self.drained is not None:
+            self.drained.cancel()
+        self.tell_front()
+        if not self.inherited:
+            await asyncio.sleep(ACCEPT_AFTER_STOP_S)
+            self.accept()  # hazard: what still waits in the backlog is reset with the listener, and lost
         self.pause()
         listener, self.listener = self.listener, None
         if listener is not None:
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -52,12 +52,14 @@
 class Exchange:
     """One request to an upstream and its one end: an attempt or a probe."""
 
-    __slots__ = ("render", "ended", "timer", "connection", "done")
+    __slots__ = ("render", "ended", "wrote", "timer", "connection", "done")
 
     def __init__(self, render: Callable[[], bytes | None],
-                 ended: Callable[[api.Outcome, Answer | None], None]) -> None:
+                 ended: Callable[[api.Outcome, Answer | None], None],
+                 wrote: Callable[[], None] | None = None) -> None:
         self.render = render  # the bytes, asked for when they are to be written; None = no longer wanted
         self.ended = ended
+        self.wrote = wrote  # called once the kernel has the whole request
         self.timer: asyncio.TimerHandle | None = None
         self.connection: Connection | None = None
         self.done = False
@@ -110,6 +112,7 @@
     dial_grpc: Address | None = None  # where it speaks gRPC, if not there as well
     shared: list[Shared] = field(default_factory=list)
     idle: dict[Connection, None] = field(default_factory=dict)  # the last one was used most recently
+    told: api.Upstream | None = None  # the entry as the list has it, where a hand holds it otherwise
     heard: float = 0.0  # loop time of the last byte from it
     generation: int = 0  # counts its restarts
     open: int = 0  # connections, those being made among them
@@ -168,10 +171,16 @@
         self.began = self.loop.time()
         self.written = False
         self.transport.write(data)
-        self.written = not self.transport.get_write_buffer_size() and not self.transport.is_closing()
+        if not self.transport.get_write_buffer_size():
+            self.resume_writing()
 
     def resume_writing(self) -> None:
-        self.written = self.transport is not None and not self.transport.is_closing()
+        """The kernel has all that was written."""
+        if self.written or self.transport is None or self.transport.is_closing():
+            return
+        self.written = True
+        if self.exchange is not None and self.exchange.wrote is not None:
+            self.exchange.wrote()
 
     def data_received(self, data: bytes) -> None:
         self.host.heard = self.loop.time()
@@ -319,7 +328,7 @@
                 # hazard: connections to the process before are dead, though they look open
                 old.generation += 1
                 old.close_idle()
-            old.entry, old.dial, old.dial_grpc = new.entry, new.dial, new.dial_grpc
+            old.entry, old.dial, old.dial_grpc, old.told = new.entry, new.dial, new.dial_grpc, new.told
             if not old.wanted():
                 old.close_idle()
             self.forget(old)
