Large bodies and answers are passed on as they come, within a bound of memory

A body's time limit goes by what has come. Blanks behind a header's value are no part of it (252 of 1,300 requests of one sidecar were answered 400 for them).

--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -115,6 +115,8 @@
 class GrpcConnection(Endpoint):
     """One client's connection. To the server it is as ClientConnection is."""
 
+    grace_s = 2.2  # from its accept to its first call
+
     def __init__(self, front: Front) -> None:
         super().__init__(Connection(False, front.limits, front.nodes.now_us()), front.server.loop)
         self.front = front
--- a/wickspread/operations/figures.py
+++ b/wickspread/operations/figures.py
@@ -25,9 +25,6 @@
     def taken(self) -> None:
         self.pending += 1
 
-    def wrote(self) -> None:
-        self.upstream_requests += 1
-
     def answered(self, class_index: int, status: int) -> None:
         """A request has ended with this status; 0 = its client has left."""
         self.pending -= 1
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -17,6 +17,7 @@
 from wickspread.operations.handover import Handover
 from wickspread.operator import file as operators
 from wickspread.sidecar import config as configuration
+from wickspread.sidecar.bodies import Spool
 from wickspread.sidecar.collector import Collector
 from wickspread.sidecar.discovery import Discovery
 from wickspread.sidecar.engine import Clock, Engine
@@ -24,11 +25,17 @@
 from wickspread.sidecar.server import Server
 from wickspread.sidecar.upstream import Pool
 
+OWN_MB = 40
 log = logging.getLogger("wickspread")
 
 OWN_DESCRIPTORS = 48  # standard streams, the loop's, the listener, discovery, and room for what is closing
 
 
+def spool_bytes(memory_mb: int) -> int:
+    """For bodies that are held whole: a quarter of what the process does not need for itself."""
+    return max(1, (memory_mb - OWN_MB) // 4) * 1024 * 1024
+
+
 async def serve(config: configuration.Config, operator: operators.Operator) -> None:
     settings, clock = config.settings, Clock()
     directory = Directory(settings)
@@ -39,7 +46,7 @@
     discovery = Discovery(config.discovery, directory, version, pushed=not settings.list_on_request)
     engine = Engine(settings, config.seed, clock, pool, discovery)
     discovery.sink = engine
-    server = Server(engine, share)
+    server = Server(engine, share, Spool(spool_bytes(config.memory_mb)))
     nodes = None
     if operator.grpc.enabled:
         # hazard: the HTTP/2 library takes memory; where gRPC is off, nothing of it is imported
--- a/wickspread/sidecar/config.py
+++ b/wickspread/sidecar/config.py
@@ -25,6 +25,7 @@
     discovery: Address
     seed: int
     sockets: int  # file descriptors that this process may hold
+    memory_mb: int  # of all processes of this sidecar together
     settings: api.Settings
     known: dict[str, Any]  # the list as this sidecar last had it, in discovery's form
     door: Address | None = None  # where operators call; None = nowhere
@@ -87,6 +88,7 @@
             discovery=parse_address(told.get("discovery", env["PROXY_DISCOVERY"])),
             seed=int(str(told["seed"]), 16),
             sockets=min(int(limits.get("sockets", 1024)), soft),
+            memory_mb=int(limits.get("memory_mb", 192)),
             settings=wire.parse_settings("\n".join(options(told["settings"]))),
             known=known,
             door=parse_address(door) if door else None,
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -12,12 +12,14 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Protocol
 
 from wickspread import interface as api
 from wickspread import wire
 from wickspread.balance import Balancer
 from wickspread.operations.figures import Figures
+from wickspread.sidecar.bodies import KEEP, Flow, Opens, Source, Upload
 from wickspread.sidecar.upstream import Answer, Exchange, Host, Pool
 
 log = logging.getLogger("wickspread")
@@ -69,6 +71,9 @@
     retried: bool = False
     ident: bytes = b""  # its Req-Id
     carrier: Carrier | None = None  # None = HTTP/1.1, with the head and body above
+    upload: Upload | None = None  # in place of `body`: it is passed on as it comes
+    after_us: int = 0  # what is left of its time once an upload is whole
+    opens: Opens | None = None  # where a large answer goes; None = nowhere
 
 
 @dataclass(slots=True, eq=False)
@@ -122,6 +127,14 @@
                                      call.cost_us, call.retried))
         return ident
 
+    def uploaded(self, ident: int) -> None:
+        """The last byte of an upload has come: its time counts from now."""
+        entry = self.requests.get(ident)
+        if entry is not None and not entry.answered and entry.guard is not None:
+            entry.call.due_us = self.clock.now_us() + entry.call.after_us
+            entry.guard.cancel()
+            entry.guard = self.later(entry.call.due_us, self.overdue, ident)
+
     def gone(self, ident: int) -> None:
         """The client has closed its connection."""
         entry = self.requests.get(ident)
@@ -252,11 +265,35 @@
             """Asked for just before the first byte: by then the request may be over, or its time."""
             return 0 if entry.answered else max(0, call.due_us - self.clock.now_us())
 
-        def render() -> bytes | None:
+        def render() -> list[bytes] | None:
             left = left_us()
             if left <= 0:
                 return None
-            return b"%sReq-Deadline: %d.%06d\r\n\r\n%s" % (call.head, *divmod(left, 1_000_000), call.body)
+            body = call.body if len(call.body) <= KEEP else b""
+            head = b"%sReq-Deadline: %d.%06d\r\n\r\n%s" % (call.head, *divmod(left, 1_000_000), body)
+            return [head] if len(body) == len(call.body) else [head, call.body]
+
+        def wrote() -> None:
+            nonlocal now_us
+            self.figures.upstream_requests += 1
+            if call.upload is not None:
+                now_us = self.clock.now_us()  # what the client takes to send it says nothing of the upstream
+
+        def opens(head: bytes, length: int | None, load: bytes, source: Source) -> Flow | None:
+            entry.attempts[attempt] = None
+            entry.out -= 1
+            flow = None
+            if not entry.answered and call.opens is not None:
+                entry.answered = True
+                if entry.guard is not None:
+                    entry.guard.cancel()
+                flow = call.opens(head, length, source, partial(self.streamed, call.class_index))
+            if entry.answered and entry.out == 0:
+                self.requests.pop(ident, None)
+            self.tell(api.AttemptEnded(ident, attempt, action.upstream, api.Outcome.OK,
+                                       self.clock.now_us() - now_us, entry.answered,
+                                       self.report(load) if load else []))
+            return flow
 
         def began() -> None:
             self.tell(api.StreamStarted(ident, attempt, action.upstream, self.clock.now_us() - now_us))
@@ -280,17 +317,19 @@
             self.tell(api.AttemptEnded(ident, attempt, action.upstream, outcome,
                                        self.clock.now_us() - now_us, entry.answered, report))
 
-        most_us = call.due_us - now_us
+        most_us = call.due_us - now_us if call.upload is None else call.after_us
         timeout_us = min(action.timeout_us or most_us, most_us)
         if entry.answered or timeout_us <= 0 or attempt >= self.settings.max_attempts or (
-                entry.out > 1 and not self.settings.second_copies):
+                entry.out > 1 and not self.settings.second_copies) or (
+                call.upload is not None and call.upload.taken):
             ended(api.Outcome.NOT_SENT, None)
             return
         if call.carrier is not None:
             carried = entry.attempts[attempt] = call.carrier.attempt(left_us, ended, began)
             carried.start(action.upstream, timeout_us / 1e6)
             return
-        exchange = entry.attempts[attempt] = Exchange(render, ended, self.figures.wrote)
+        exchange = entry.attempts[attempt] = Exchange(
+            render, ended, wrote, opens if call.opens is not None else None, call.upload)
         self.pool.start(action.upstream, exchange, timeout_us / 1e6)
 
     def probe(self, upstream: int) -> None:
@@ -307,7 +346,7 @@
             return
         path = b"/status/load" if self.settings.report_names else b"/health"
         head = b"GET %s HTTP/1.1\r\nHost: backend.local\r\n\r\n" % path
-        self.pool.start(upstream, Exchange(lambda: head, ended), self.settings.probe_timeout_us / 1e6)
+        self.pool.start(upstream, Exchange(lambda: [head], ended), self.settings.probe_timeout_us / 1e6)
 
     def report(self, text: bytes) -> list[float]:
         return wire.parse_report(text, self.settings.report_names)
@@ -326,6 +365,10 @@
                 # not, its slot would stay taken for good
                 log.exception("an answer could not be written")
 
+    def streamed(self, class_index: int, whole: bool | None) -> None:
+        """A large answer has ended. Hazard: what is handed out here must not hold the request's body."""
+        self.figures.answered(class_index, 0 if whole is None else 200 if whole else 502)
+
     def settle(self, ident: int, entry: Entry, status: int) -> None:
         entry.answered = True
         self.figures.answered(entry.call.class_index, status)
--- a/wickspread/sidecar/request.py
+++ b/wickspread/sidecar/request.py
@@ -6,11 +6,13 @@
 import re
 
 from wickspread import interface as api
+from wickspread.sidecar.bodies import Upload
 from wickspread.sidecar.engine import Call
 from wickspread.sidecar.upstream import HOP_HEADERS, end_to_end
 
 # The answer is under way, and the loop may be busy, when the client's time is out.
 ANSWER_MARGIN_US = 10_000
+UPLOAD_US = 600_000_000  # an upload may take so long before its time begins to count
 REQ_ID = re.compile(rb"[0-9A-Za-z_.-]{1,128}\Z")
 DEADLINE = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?\Z")
 COST = re.compile(rb"[0-9]{1,9}\Z")
@@ -49,7 +51,7 @@
         self.tenants = {one.name.encode(): number for number, one in enumerate(settings.tenants)}
 
     def read(self, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]], body: bytes,
-             now_us: int) -> Call:
+             now_us: int, upload: Upload | None = None) -> Call:
         parts = target.partition(b"?")[0].split(b"/")[1:]
         class_index = self.classes.get(parts[0]) if parts else None
         if class_index is None:
@@ -76,14 +78,20 @@
         keyed = effect == "deduplicated"
         if bool(found.get(b"idempotency-key")) != keyed or (b"idempotency-key" in found) != keyed:
             raise Rejected(400, "the Idempotency-Key contradicts the class")
-        if effect == "idempotent" and body:
+        if effect == "idempotent" and (body or upload is not None):
             raise Rejected(400, "a body where the class has none")
         tenant = self.tenants.get(found.get(b"req-owner", b""), 0)
-        length = b"Content-Length: %d\r\n" % len(body) if method == b"POST" else b""
+        size = len(body) if upload is None else upload.length
+        length = (b"" if method != b"POST" else b"Transfer-Encoding: chunked\r\n" if size is None
+                  else b"Content-Length: %d\r\n" % size)
+        # hazard: by a deadline of hours one client would keep slots and the buffer for hours
+        after_us = min(decimal_us(deadline), kind.deadline_us) - ANSWER_MARGIN_US
+        coming_us = 0 if upload is None else UPLOAD_US
         return Call(
             class_index=class_index,
-            # hazard: by a deadline of hours one client would keep slots and the buffer for hours
-            due_us=now_us + min(decimal_us(deadline), kind.deadline_us) - ANSWER_MARGIN_US,
+            due_us=now_us + coming_us + after_us,
+            after_us=after_us,
+            upload=upload,
             ident=found[b"req-id"],
             # a Connection header may name others that go no further
             head=b"%s %s HTTP/1.1\r\n%s%s" % (method, target, end_to_end(headers, DROPPED)
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -7,6 +7,7 @@
 import socket
 from typing import TYPE_CHECKING, Protocol
 
+from wickspread.sidecar.bodies import Spool, Upload
 from wickspread.sidecar.client import ClientConnection, Pending
 from wickspread.sidecar.config import Address
 from wickspread.sidecar.engine import Engine
@@ -19,7 +20,6 @@
 
 BACKLOG = 512
 SWEEP_S = 0.2
-WHOLE_S = 2.2  # from its accept to its first whole request, and for each later one from its first byte
 YOUNG_S = 0.05  # a connection's first request follows its accept; the loop may be busy meanwhile
 DRAIN_NOTICE_S = 0.4  # the front asks ten times a second, and sends new connections for 0.2 s after a no
 ACCEPT_AFTER_STOP_S = 0.5  # new connections go on coming for up to 0.4 s after SIGTERM
@@ -37,6 +37,10 @@
     unparsed: int
     deaf: bool  # what still comes is dropped
     idle_s: float
+
+    @property
+    def grace_s(self) -> float:
+        """How long after `since` what is being read may take."""
     transport: asyncio.Transport | None
 
     @property
@@ -57,7 +61,7 @@
 class Server:
     """The listener, within a budget of client connections."""
 
-    def __init__(self, engine: Engine, most: int) -> None:
+    def __init__(self, engine: Engine, most: int, spool: Spool | None = None) -> None:
         self.engine = engine
         self.reader = Reader(engine.settings)
         self.most = most
@@ -66,6 +70,8 @@
         # those with no request under way: the one there for longest comes first
         self.waiting: dict[Incoming, None] = {}  # no whole request has come
         self.idle: dict[Incoming, None] = {}  # between requests
+        self.spool = spool or Spool(4 * 1024 * 1024)
+        self.uploads: dict[ClientConnection, None] = {}  # bodies that are passed on as they come
         self.open: set[bytes] = set()  # Req-Ids of requests that are not answered
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
@@ -116,7 +122,9 @@
         """Hazard: clients that connect and say nothing, or send half a request, would stay for good."""
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
         now = self.loop.time()
-        for connection in [one for one in self.waiting if now - one.since >= WHOLE_S]:
+        for sender in [one for one in self.uploads if not one.paused and now - one.since >= one.grace_s]:
+            sender.reject(Rejected(408, "the request did not come whole in time"))
+        for connection in [one for one in self.waiting if now - one.since >= one.grace_s]:
             if connection.reading or connection.unparsed:
                 self.busy(connection)
                 connection.reject(Rejected(408, "the request did not come whole in time"))
@@ -207,14 +215,15 @@
             log.warning("%s", text)
 
     def take(self, one: Pending, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
-             body: bytes) -> None:
+             body: bytes, upload: Upload | None = None) -> None:
         if target == b"/ready" and method == b"GET":
             one.reply(200 if self.ready else 503)
             return
-        call = self.reader.read(method, target, headers, body, self.engine.clock.now_us())
+        call = self.reader.read(method, target, headers, body, self.engine.clock.now_us(), upload)
         if call.ident in self.open:
             # hazard: upstreams tell requests apart by it; two at once could get each other's answer
             raise Rejected(409, "a request with this Req-Id is open")
+        call.opens = one.open
         one.ident = call.ident
         self.open.add(call.ident)
         one.request = self.engine.accept(call, one.reply)
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -14,13 +14,15 @@
 import httptools
 
 from wickspread import interface as api
+from wickspread.sidecar.bodies import KEEP, MOST_BODY, Flow, Source, Upload
 from wickspread.sidecar.config import Address
 
 log = logging.getLogger("wickspread")
 
-MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
-MAX_RAW = MAX_HEAD + 8 * MAX_BODY  # a whole answer with its framing: chunks may be small
+MAX_RAW = MAX_HEAD + 8 * KEEP  # an answer that is held whole, with its framing: chunks may be small
+FIRST_S = 0.1  # an answer of unknown length that takes longer than this is passed on as it comes
+STALL_S = 10.0  # no byte of a body moves for so long: it is given up
 SWEEP_S = 0.25
 # Ours, not the upstream's: too many descriptors, no memory, no free port.
 LOCAL_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
@@ -49,17 +51,28 @@
     last: bool = False  # no further attempt can be made
 
 
+def nothing() -> None:
+    """What is to be written for an exchange that has ended."""
+
+
 class Exchange:
     """One request to an upstream and its one end: an attempt or a probe."""
 
-    __slots__ = ("render", "ended", "wrote", "timer", "connection", "done")
+    __slots__ = ("render", "ended", "wrote", "opens", "upload", "timeout_s", "timer", "connection", "done")
 
-    def __init__(self, render: Callable[[], bytes | None],
+    def __init__(self, render: Callable[[], list[bytes] | None],
                  ended: Callable[[api.Outcome, Answer | None], None],
-                 wrote: Callable[[], None] | None = None) -> None:
-        self.render = render  # the bytes, asked for when they are to be written; None = no longer wanted
+                 wrote: Callable[[], None] | None = None,
+                 opens: Callable[[bytes, int | None, bytes, Source], Flow | None] | None = None,
+                 upload: Upload | None = None) -> None:
+        self.render = render  # the parts, asked for when they are to be written; None = no longer wanted
         self.ended = ended
         self.wrote = wrote  # called once the kernel has the whole request
+        # a large answer: its header lines, length and Srv-Load go in, where it goes comes out; the exchange
+        # has then ended well. None from it: nobody wants the answer. None in its place: it is held whole.
+        self.opens = opens
+        self.upload = upload  # the body, where it is passed on as it comes
+        self.timeout_s = 0.0  # from when the kernel has the whole request
         self.timer: asyncio.TimerHandle | None = None
         self.connection: Connection | None = None
         self.done = False
@@ -78,6 +91,12 @@
     def expire(self) -> None:
         """We stop waiting. What was not written whole has never run."""
         connection = self.connection
+        if connection is not None and not connection.fed:
+            now = connection.loop.time()
+            waits = connection.transport is not None and not connection.transport.get_write_buffer_size()
+            if waits or now - connection.moved < STALL_S:  # it waits for the client: the front's matter
+                self.timer = connection.loop.call_later(self.timeout_s, self.expire)
+                return
         if connection is None or not connection.written:
             self.finish(api.Outcome.CONNECT_FAILED)
             return
@@ -138,8 +157,13 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.written = False  # the kernel has the whole request
-        self.began = self.idle_since = 0.0
-        self.complete = self.keep = False
+        self.fed = False  # nothing of the request is still to come
+        self.flow: Flow | None = None  # where the answer goes that is passed on as it comes
+        self.held = False  # ... and is not read just now
+        self.began = self.idle_since = self.moved = 0.0
+        self.complete = self.keep = self.to_end = False
+        self.ours = False  # it ends by our doing
+        self.watch: asyncio.TimerHandle | None = None  # of an answer under way
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is one in all but its bases
@@ -163,24 +187,54 @@
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.parser = httptools.HttpResponseParser(self)
-        self.status_begun = self.complete = False
+        self.status_begun = self.complete = self.to_end = False
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = bytearray()
         self.raw = 0  # bytes of this answer so far
         self.in_head = True
-        self.began = self.loop.time()
+        self.length: int | None = None  # as the answer's head tells it
+        self.began = self.moved = self.loop.time()
         self.written = False
-        self.transport.write(data)
-        if not self.transport.get_write_buffer_size():
-            self.resume_writing()
+        self.fed = exchange.upload is None
+        for part in data:
+            self.transport.write(part)
+        if exchange.upload is not None:
+            exchange.upload.more = self.feed
+        self.feed()
+
+    def feed(self) -> None:
+        """Write what there is of a request's body; note when the kernel has the whole request."""
+        exchange, transport = self.exchange, self.transport
+        if exchange is None or transport is None or transport.is_closing() or self.written:
+            return
+        upload = exchange.upload
+        while upload is not None and not self.fed and not transport.get_write_buffer_size():
+            if upload.failed:
+                exchange.finish(api.Outcome.NOT_SENT)  # closing it here: the last byte never comes
+                return
+            piece = upload.take()
+            if piece is None and not upload.whole:
+                return
+            self.moved = self.loop.time()
+            if piece is not None:
+                chunked = upload.length is None
+                transport.write(b"%x\r\n%s\r\n" % (len(piece), piece) if chunked else piece)
+            if upload.whole and not upload.data:
+                self.fed = True
+                if upload.length is None:
+                    transport.write(b"0\r\n\r\n")
+        if not self.fed or transport.get_write_buffer_size():
+            return
+        self.written = True
+        if upload is not None and exchange.timer is not None:
+            exchange.timer.cancel()
+            exchange.timer = self.loop.call_later(exchange.timeout_s, exchange.expire)
+        if exchange.wrote is not None:
+            exchange.wrote()
 
     def resume_writing(self) -> None:
         """The kernel has all that was written."""
-        if self.written or self.transport is None or self.transport.is_closing():
-            return
-        self.written = True
-        if self.exchange is not None and self.exchange.wrote is not None:
-            self.exchange.wrote()
+        self.feed()
 
     def data_received(self, data: bytes) -> None:
         self.host.heard = self.loop.time()
@@ -202,14 +256,71 @@
             self.finish()
         elif why:
             self.fail(why)
+        elif self.flow is not None:
+            self.moved = self.loop.time()
         elif self.raw > (MAX_HEAD if self.in_head else MAX_RAW):
             # hazard: the parser keeps a header to itself until it is whole, and 1xx answers need not end
             self.fail("too large")
+        elif not self.in_head and self.length is None and self.watch is None and self.streams():
+            self.watch = self.loop.call_later(FIRST_S, self.open)
+
+    # An answer that is passed on as it comes
+
+    def streams(self) -> bool:
+        return (self.exchange is not None and self.exchange.opens is not None
+                and self.parser.get_status_code() == 200)
+
+    def open(self) -> None:
+        """Pass on what has come, and what will. The exchange has ended well; its connection stays in use."""
+        exchange, self.watch = self.exchange, None
+        if exchange is None or exchange.opens is None or self.flow is not None:
+            return
+        if exchange.done:  # nobody waits for it any more
+            self.close()
+            return
+        found = {name.lower(): value for name, value in self.headers}
+        head = end_to_end(self.headers, frozenset({b"srv-load"}))
+        exchange.done = True
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        self.moved = self.loop.time()
+        exchange.render = nothing  # hazard: it holds the request's body, for as long as the answer takes
+        self.flow = exchange.opens(head, self.length, found.get(b"srv-load", b""), self)
+        if self.flow is None:
+            self.close()
+            return
+        if self.body:
+            body, self.body = bytes(self.body), bytearray()
+            self.flow.write(body)
+        self.watch = self.loop.call_later(STALL_S / 2, self.stalled)
+
+    def stalled(self) -> None:
+        if self.loop.time() - self.moved >= STALL_S:
+            self.close()
+        else:
+            self.watch = self.loop.call_later(STALL_S / 2, self.stalled)
+
+    def pause(self) -> None:
+        if not self.held and self.transport is not None and not self.transport.is_closing():
+            self.held = True
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        self.moved = self.loop.time()
+        if self.held and self.transport is not None and not self.transport.is_closing():
+            self.held = False
+            self.transport.resume_reading()
+
+    def abandon(self) -> None:
+        self.flow = None
+        self.close()
 
     def fail(self, why: str) -> None:
         """Hazard: an answer that is not whole and well formed is never passed on as served."""
         self.pool.complain(f"upstream {self.host.dial[0]}:{self.host.dial[1]}: bad answer: {why}")
-        if self.exchange is not None:
+        if self.flow is not None:
+            self.close()
+        elif self.exchange is not None:
             self.exchange.finish(api.Outcome.ERROR)
 
     def on_message_begin(self) -> None:
@@ -218,22 +329,40 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete:
-            self.headers.append((name, value))
+            self.headers.append((name, value.rstrip(b" \t")))  # RFC 9110, 5.5: no part of the value
 
     def on_headers_complete(self) -> None:
         if self.complete or 100 <= self.parser.get_status_code() < 200:
             return
         self.in_head = False
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)  # it may all come in one read
-        if size > MAX_HEAD or any(name.lower() == b"content-length" and int(value) > MAX_BODY
-                                  for name, value in self.headers):
+        framed = False
+        for name, value in self.headers:
+            low = name.lower()
+            if low == b"content-length":
+                self.length, framed = int(value), True
+            elif low == b"transfer-encoding":
+                framed = True
+        most = MOST_BODY if self.streams() else KEEP
+        if size > MAX_HEAD or (self.length or 0) > most:
             raise ValueError("too large")  # hazard: 3 GB would keep coming until the time-out
+        # RFC 9112, 6.3: it ends with its connection
+        self.to_end = not framed and any(name.lower() == b"connection" and b"close" in value.lower()
+                                         for name, value in self.headers)
+        if (self.length or 0) > KEEP:
+            self.open()
 
     def on_body(self, body: bytes) -> None:
-        if not self.complete:
+        if self.complete:
+            return
+        if self.flow is None:
             self.body += body
-            if len(self.body) > MAX_BODY:
-                raise ValueError("too large")
+            if len(self.body) > KEEP:
+                if not self.streams():
+                    raise ValueError("too large")
+                self.open()
+        else:
+            self.flow.write(body)
 
     def on_message_complete(self) -> None:
         if self.complete:
@@ -248,6 +377,15 @@
     def finish(self) -> None:
         exchange = self.exchange
         assert exchange is not None
+        if self.watch is not None:
+            self.watch.cancel()
+            self.watch = None
+        if self.flow is not None:
+            flow, self.flow, self.exchange, exchange.connection = self.flow, None, None, None
+            self.resume()
+            self.park() if self.keep and self.written and not self.status_begun else self.close()
+            flow.end()
+            return
         found = {name.lower(): value for name, value in self.headers}
         answer = Answer(self.status, end_to_end(self.headers, frozenset({b"srv-load"})), bytes(self.body),
                         found.get(b"srv-load", b""))
@@ -257,6 +395,8 @@
             outcome = api.Outcome.FULL
         else:
             outcome = api.Outcome.ERROR  # hazard: a bare 503 does not say that nothing ran
+        if exchange.upload is not None:
+            exchange.upload.more = None
         if self.keep and self.written and not self.status_begun:
             self.exchange = exchange.connection = None
             self.park()
@@ -273,6 +413,8 @@
 
     def release(self) -> None:
         """The exchange ends before its answer is whole: closing gives the attempt up."""
+        if self.exchange is not None and self.exchange.upload is not None:
+            self.exchange.upload.more = None
         self.exchange = None
         self.close()
 
@@ -283,14 +425,25 @@
 
     def close(self) -> None:
         self.leave()
+        self.ours = True
         if self.transport is not None:
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         self.leave()
         self.pool.closed(self.host)
+        if self.watch is not None:
+            self.watch.cancel()
+        whole = error is None and self.exchange is not None and self.to_end and not self.in_head
+        if whole and not self.complete and not self.ours:
+            self.complete, self.keep, self.status = True, False, self.parser.get_status_code()
+            self.finish()
+            return
+        flow, self.flow = self.flow, None
         exchange, self.exchange = self.exchange, None
-        if exchange is not None:
+        if flow is not None:
+            flow.fail()
+        elif exchange is not None and not exchange.done:
             exchange.connection = None
             exchange.finish(api.Outcome.RESET if self.written else api.Outcome.CONNECT_FAILED)
 
@@ -349,6 +502,7 @@
         if host is None or not host.wanted():
             exchange.finish(api.Outcome.NOT_SENT)
             return
+        exchange.timeout_s = timeout_s
         exchange.timer = self.loop.call_later(timeout_s, exchange.expire)
         while host.idle:
             connection = next(reversed(host.idle))
