Upstreams that warm up get slots by their warmth, not one for each sidecar

Traced by noting each refusal's slots: of 12 to 15 upstreams 4 to 9 were warm and full, 6 to 8 had just restarted (by hand or in a release) and answered in 15 to 40 ms, held to one request out from each of two sidecars till they were warm. Ruled out: the second process (its sidecar refuses no more than before), the slots of all together (20 of 130 used), the buffer.

What is out together is what a closed loop can send ahead of what is served, so it may grow with what surely is served: 8 slots of all sidecars together, times the warmth, and one each as before. Not taken: opening them by quick answers, as a cold upstream answers the first few quickly and falls over later.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,7 +14,7 @@
 
 from tests import plain
 from tests.world import START_US, settings
-from wickspread.fleet import Fleet, Server
+from wickspread.fleet import COLD_SLOTS, Fleet, Server
 from wickspread.interface import Upstream, UpstreamState
 from wickspread.shelf import BLOCK, Shelf, Sorted
 
@@ -273,3 +273,19 @@
     fleet.settle(START_US + WARM_UP_US)
     assert not fleet.warming and not fleet.rests and len(fleet.warm) == 20
     assert fleet.cold_size == 0.0 and math.isclose(fleet.warm_size, 20.0)
+
+
+@pytest.mark.parametrize(("instances", "age_us", "slots"), [
+    (2, 0, 1), (2, 10_000_000, 2), (2, 15_000_000, 3), (2, 20_000_000, 5), (4, 10_000_000, 1),
+    (4, 19_999_999, 1), (8, 19_999_999, 1)])
+def test_an_upstream_that_warms_up_has_slots_by_its_warmth(instances: int, age_us: int, slots: int) -> None:
+    """Rule 4: all sidecars together have no more out at a cold one than its share, or one each."""
+    fleet = new_fleet(instances=instances, cold_share=0.3, warm_up_us=WARM_UP_US)
+    server = add(fleet, 1, random.Random(1), started_us=START_US - age_us)
+    server.slots.window = 5.0
+    now_us = START_US
+    assert fleet.open_slots(server, now_us) == slots
+    server.slots.used = slots
+    assert fleet.open_slots(server, now_us) <= 0
+    if age_us < WARM_UP_US:
+        assert slots * instances <= max(COLD_SLOTS * fleet.warmth(server, now_us), instances)
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -418,7 +418,7 @@
         for ident in joined:
             self.use(self.entries[ident])
         self.sharing = self.subset.sharing()
-        self.fleet.count_slots(self.sharing <= FEW, self.now_us)
+        self.fleet.count_slots(self.sharing, self.now_us)
 
     def usable(self, ident: int) -> bool:
         entry, server = self.entries[ident], self.servers.get(ident)
--- a/wickspread/fleet.py
+++ b/wickspread/fleet.py
@@ -15,6 +15,7 @@
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
 MOST_SLOTS = 8  # times the first slots, however quick the answers
+COLD_SLOTS = 8.0  # at an upstream that is nearly warm, all sidecars together; at a cold one its share of them
 FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
 COLD_TRIES = 64
 
@@ -81,6 +82,7 @@
         self.settings = settings
         self.home = home  # the zone that is near; -1 = none
         self.few = settings.instances <= FEW  # draws go by size and open slots
+        self.cold_slots = COLD_SLOTS / settings.instances
         self.base_us = now_us  # starts are summed from here, lest sums of Unix times lose digits
         self.servers: dict[int, Server] = {}  # those that have something out, though not used any more, too
         self.warm: Shelf[Server] = Shelf()  # in this sidecar's own order
@@ -102,8 +104,11 @@
         """How many more sends an upstream may have now; the one place where health lives."""
         if server.entry.state is not api.UpstreamState.READY:
             return 0  # rule 3: draining and gone upstreams get nothing from the moment we are told
-        free = server.slots.free(now_us)
-        return free if self.warmth(server, now_us) >= 1.0 else min(free, 1 - server.slots.used)
+        free, warmth = server.slots.free(now_us), self.warmth(server, now_us)
+        if warmth >= 1.0:
+            return free
+        # rule 4: what is out together is what can be sent ahead of what it serves; that grows with its warmth
+        return min(free, max(1, int(self.cold_slots * warmth)) - server.slots.used)
 
     def failing_at(self, part: int) -> float:
         """The failed share that one in `part` of the warm upstreams stays within."""
@@ -234,8 +239,10 @@
             if server is not None and server.seat is not None:
                 self.place(server, now_us)
 
-    def count_slots(self, few: bool, now_us: int) -> None:
-        """Whether draws go by size and open slots; all weights are renewed where that changes."""
+    def count_slots(self, sharing: float, now_us: int) -> None:
+        """How many sidecars share an upstream. Draws of few go by size and slots; where that changes, all
+        weights are renewed."""
+        few, self.cold_slots = sharing <= FEW, COLD_SLOTS / sharing
         if few is not self.few:
             self.few = few
             for server in list(self.servers.values()):
