A successor waits for its list; before the kill the old process answers what is left

The successor (known by a lock in TMPDIR, which ends with its process) takes clients after its first list, 2 s at most; while two live each keeps to half of the descriptors; 3.5 s after SIGTERM all that is unanswered is answered 504, and who has begun a request may finish it. Not taken: marks in files for who lives, as they outlive a kill.

--- a/wickspread/operations/hand.py
+++ b/wickspread/operations/hand.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
 
@@ -27,6 +26,8 @@
 
     def undrain(self) -> None: ...
 
+    def shrink(self, half: bool) -> None: ...
+
 
 class Hand:
     """By hand: the calls and the state behind them."""
@@ -38,10 +39,10 @@
         self.handover = handover
         self.suspended = Suspended()
         self.serving = False  # clients are taken
-        self.looks: Callable[[], None] | None = None  # called with each look
         self.suspended.replace(handover.read() or ())
         engine.hold = self.hold
         self.timer = engine.loop.call_later(LOOK_S, self.look)
+        self.share()
 
     def calls(self) -> dict[str, Call]:
         return {"STATUS": self.status, "METRICS": self.metrics, "SUSPEND": self.suspend,
@@ -115,8 +116,13 @@
             names = self.handover.read()
             if names is not None:
                 self.apply(names)
-        if self.looks is not None:
-            self.looks()
+        self.share()
+
+    def share(self) -> None:
+        """While there are two processes of this sidecar, each keeps to half of what both may hold."""
+        alone = self.handover.alone() and not self.handover.succeeded()
+        self.server.shrink(not alone)
+        self.engine.pool.shrink(not alone)
 
     def close(self) -> None:
         self.timer.cancel()
--- a/wickspread/operations/handover.py
+++ b/wickspread/operations/handover.py
@@ -2,7 +2,7 @@
 
 A suspension is a file of its own, named by a digest and holding the upstream's name; it is put there by a
 rename and taken away by an unlink. So a process that is killed at any step leaves the old or the new state,
-and no two of them ever write the same file. `serving` is locked by the one that serves while it lives.
+and no two of them ever write the same file. Who serves is known by locks, which end with their process.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 log = logging.getLogger("wickspread")
 
 FOLDER = "wickspread"
+SERVING, NEXT = "serving", "next"  # locked by the process that serves, and by its successor
 PART = ".part"
 
 
@@ -29,7 +30,7 @@
     def __init__(self, folder: Path | None) -> None:
         self.folder = folder
         self.seen: tuple[int, int] | None = None  # of the folder of suspensions, as last read
-        self.lock: int | None = None
+        self.locks: dict[str, int] = {}  # descriptors
         if folder is not None:
             try:
                 (folder / "suspended").mkdir(parents=True, exist_ok=True)
@@ -46,44 +47,51 @@
     # Who serves
 
     def alone(self) -> bool:
-        """No other process of this sidecar serves; from now on this one does. Asked again, it may change."""
-        if self.folder is None or self.lock is not None:
+        """No other process of this sidecar serves; from now on this one does. Else this one is known to the
+        other as its successor. Asked again, it may change."""
+        if self.folder is None or SERVING in self.locks:
+            return True
+        if self.lock(SERVING):
+            self.unlock(NEXT)
+            return True
+        self.lock(NEXT)
+        return False
+
+    def succeeded(self) -> bool:
+        """A successor has come, and lives."""
+        if self.folder is None or NEXT in self.locks:
+            return False
+        if self.lock(NEXT):
+            self.unlock(NEXT)
+            return False
+        return True
+
+    def lock(self, name: str) -> bool:
+        """False if another process has it. Hazard: a mark that is not a lock outlives a process that is
+        killed."""
+        if self.folder is None or name in self.locks:
             return True
         try:
-            handle = os.open(self.folder / "serving", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        except OSError:
+            handle = os.open(self.folder / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError as error:
+            log.warning("other processes of this sidecar can't be seen: %s", error)
             return True
         try:
             fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(handle)
             return False
-        self.lock = handle
+        self.locks[name] = handle
         return True
 
-    def come(self) -> None:
-        """Tell the process that serves that its successor is there."""
-        if self.folder is not None:
-            with contextlib.suppress(OSError):
-                (self.folder / f"next-{os.getpid()}").touch()
-
-    def succeeded(self) -> bool:
-        """Another process than this one has come."""
-        if self.folder is None:
-            return False
-        own = f"next-{os.getpid()}"
-        try:
-            return any(name.startswith("next-") and name != own for name in os.listdir(self.folder))
-        except OSError:
-            return False
+    def unlock(self, name: str) -> None:
+        handle = self.locks.pop(name, None)
+        if handle is not None:
+            os.close(handle)
 
     def close(self) -> None:
-        if self.folder is not None:
-            with contextlib.suppress(OSError):
-                (self.folder / f"next-{os.getpid()}").unlink(missing_ok=True)
-        if self.lock is not None:
-            os.close(self.lock)
-            self.lock = None
+        for name in list(self.locks):
+            self.unlock(name)
 
     # Suspensions
 
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import os
 import signal
@@ -25,9 +26,10 @@
 from wickspread.sidecar.server import Server
 from wickspread.sidecar.upstream import Pool
 
-OWN_MB = 40
 log = logging.getLogger("wickspread")
 
+OWN_MB = 40  # what a process needs without any large body
+LIST_S = 2.0  # a successor's wait for its first list
 OWN_DESCRIPTORS = 48  # standard streams, the loop's, the listener, discovery, and room for what is closing
 
 
@@ -56,8 +58,9 @@
             raise operators.OperatorError(f"grpc.enabled: needs the `grpc` extra; no {error.name}") from error
         nodes = start_grpc(operator.grpc, engine, server)
     hand, door = None, None
-    if config.door is not None:
+    if config.door is not None or config.accept_fd is not None:
         hand = Hand(engine, directory, server, Handover.of(os.environ))
+    if config.door is not None and hand is not None:
         door = Door(hand.calls())
         await door.open(config.door)
     engine.list_changed(api.ListKind.CACHED, known, version)
@@ -66,6 +69,11 @@
         engine.loop.add_signal_handler(number, stop.set)
     engine.loop.add_signal_handler(signal.SIGHUP, reload, discovery, engine)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    if hand is not None and not hand.handover.alone():
+        # hazard: what discovery tells binds soon after the first yes, and the list at hand may be old; the
+        # process before this one serves meanwhile
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(engine.listed.wait(), LIST_S)
     host, port = server.listen(config.listen, config.accept_fd)
     if hand is not None:
         hand.serving = True
@@ -74,8 +82,9 @@
     await stop.wait()
     await server.stop()
     discovery.close()
-    if door is not None and hand is not None:
+    if door is not None:
         door.close()
+    if hand is not None:
         hand.close()
     if nodes is not None:
         nodes.close()
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -112,6 +112,7 @@
         self.handling = False
         self.probes: Callable[[int, ProbeEnd, float], None] | None = None  # in place of HTTP/1.1's
         self.figures = Figures(one.name for one in settings.classes)
+        self.listed = asyncio.Event()  # discovery has told a list, or a part of one
         self.hold: Callable[[list[Host]], None] | None = None  # by operators' hands: may make entries drain
 
     # From the application
@@ -161,6 +162,8 @@
             self.hold(hosts)
         self.pool.update(hosts, whole=kind in (api.ListKind.FULL, api.ListKind.CACHED))
         self.tell(api.UpstreamsUpdated(kind, [host.entry for host in hosts], version))
+        if kind in (api.ListKind.FULL, api.ListKind.DELTA):
+            self.listed.set()
 
     def list_failed(self) -> None:
         self.tell(api.UpstreamsUpdated(api.ListKind.FAILED))
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -24,6 +24,8 @@
 DRAIN_NOTICE_S = 0.4  # the front asks ten times a second, and sends new connections for 0.2 s after a no
 ACCEPT_AFTER_STOP_S = 0.5  # new connections go on coming for up to 0.4 s after SIGTERM
 LOOK_S = 0.01
+KILL_DEADLINE_S = 3.0  # SIGKILL comes the longest deadline, at most this, and 0.7 s after SIGTERM
+KILL_SLACK_S = 0.5
 FLUSH_S = 1.0
 RETRY_ACCEPT_S = 0.05
 
@@ -64,7 +66,7 @@
     def __init__(self, engine: Engine, most: int, spool: Spool | None = None) -> None:
         self.engine = engine
         self.reader = Reader(engine.settings)
-        self.most = most
+        self.most = self.whole = most
         self.loop = engine.loop
         self.connections: set[Incoming] = set()
         # those with no request under way: the one there for longest comes first
@@ -228,6 +230,16 @@
         self.open.add(call.ident)
         one.request = self.engine.accept(call, one.reply)
 
+    def shrink(self, half: bool) -> None:
+        """Keep to half of the connections, or no more."""
+        self.most = max(1, self.whole // 2) if half else self.whole
+        for _ in range(len(self.connections) - self.most):
+            spare = self.spare()
+            if spare is None:
+                break
+            self.connections.discard(spare)
+            self.drop(spare)
+
     # Drains
 
     def drain(self) -> None:
@@ -262,11 +274,16 @@
                     self.drop(connection)
             await asyncio.sleep(LOOK_S)
 
+    def patience_s(self) -> float:
+        """How long after SIGTERM requests may still be under way; a kill comes soon after."""
+        longest_us = max(one.deadline_us for one in self.engine.settings.classes)
+        return min(longest_us / 1e6, KILL_DEADLINE_S) + KILL_SLACK_S
+
     async def stop(self) -> None:
         """A planned restart: what was taken is finished, and nobody is cut off on the way here. Until new
         connections have ceased to come, the old ones are served as ever: who waits for us to be back has
         nowhere to go."""
-        self.stopping = True
+        self.stopping, began = True, self.loop.time()
         if self.drained is not None:
             self.drained.cancel()
         self.tell_front()
@@ -279,11 +296,21 @@
             listener.close()
         self.closing = True
         await asyncio.gather(*self.tasks)
+        late = self.loop.time() + max(0.0, self.patience_s() - (self.loop.time() - began))
+        given_up = False
         while left := [one for one in self.connections if one.pending or not one.deaf]:
             for connection in left:
                 connection.leave()
-                if not connection.pending and connection.quiet():
+                if not connection.pending and not connection.reading and connection.quiet():
                     self.drop(connection)
+            if not given_up and self.loop.time() >= late:
+                given_up = True
+                for ident in list(self.engine.requests):
+                    self.engine.give_up(ident, 504)  # hazard: what a kill finds unanswered is lost
+            if self.loop.time() >= late + FLUSH_S:
+                for connection in left:
+                    self.drop(connection)  # large answers on their way: they are seen not to be whole
+                break
             await asyncio.sleep(LOOK_S)
         end = self.loop.time() + FLUSH_S  # a client that does not read its answer holds nobody up
         while self.loop.time() < end and any(one.backlog() for one in self.connections):
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -456,7 +456,7 @@
         self.connect_s = connect_s
         # hazard: a request written to a connection that the upstream is closing is a reset
         self.idle_s = max(idle_s / 2, idle_s - 0.5) if idle_s > 0 else float("inf")
-        self.most = most
+        self.most = self.whole = most
         self.open = 0  # connections, those being made among them
         self.hosts: dict[int, Host] = {}
         # all that are idle, the one that has been so for longest first; a plain dict would search its head
@@ -552,6 +552,13 @@
         next(iter(self.idle)).close()
         return True
 
+    def shrink(self, half: bool) -> None:
+        """Keep to half of the connections, or no more."""
+        self.most = max(1, self.whole // 2) if half else self.whole
+        for _ in range(self.open - self.most):
+            if not self.evict():
+                break
+
     def close_idle(self, upstream: int) -> None:
         if upstream in self.hosts:
             self.hosts[upstream].close_idle()
