The merge keeps starts told by a source that has lost its opinion, and looks at changes alone

Found by the state machine of two sources: one told a node's new start and then two empty lists; with its word the start was forgotten, and the other source's older drain counted again. Starts are kept beside the words; the new test fails without.

--- a/tests/membership/test_merge.py
+++ b/tests/membership/test_merge.py
@@ -149,6 +149,18 @@
 STATES = st.sampled_from([READY, READY, DRAINING])
 
 
+def test_a_start_told_by_a_source_that_has_lost_its_opinion_still_ends_an_older_drain() -> None:
+    merge = Merge(["etcd", "roster"])
+    nodes = [entry(f"n{number}") for number in range(10)]
+    merge.listed("etcd", "c1", 1, nodes)
+    merge.listed("roster", "", 1, nodes)
+    merge.changed("roster", "", 2, [("n0", entry("n0", DRAINING))])
+    merge.changed("etcd", "c1", 2, [("n0", entry("n0", born_ms=6))])
+    for revision in (3, 4):
+        merge.listed("etcd", "c1", revision, [])
+    assert state(merge, "n0") is READY and state(merge, "n1") is READY
+
+
 class Sources(RuleBasedStateMachine):
     """Two sources in any order, with old answers, restored clusters and restarts. What is asserted is kept in
     plain words beside: who has drained what and has not taken it back."""
--- a/wickspread/membership/merge.py
+++ b/wickspread/membership/merge.py
@@ -51,6 +51,7 @@
 
     def __init__(self, sources: Iterable[str]) -> None:
         self.sources = {name: Source(name) for name in sources}  # the one named first counts first
+        self.starts: dict[str, int] = {}  # of nodes: told by a source that has no opinion now
 
     # What sources tell
 
@@ -76,12 +77,14 @@
                 if many and self.elsewhere(found, name):
                     # hazard: one source alone would empty the fleet; it has no opinion, but its drains stay
                     if found.words[name].state is READY:
-                        del found.words[name]
+                        born_ms = found.words.pop(name).entry.born_ms
+                        # hazard: with its word a start would be forgotten, and an older drain would count
+                        self.starts[name] = max(born_ms, self.starts.get(name, 0))
                         changed.add(name)
                 elif self.say(found, name, None, revision, listed=True, fresh=fresh):
                     changed.add(name)
         found.epoch, found.revision = epoch, revision
-        return changed | self.forget()
+        return changed | self.forget(changed)
 
     def changed(self, source: str, epoch: str, revision: int,
                 changes: Iterable[tuple[str, Entry | None]]) -> set[str]:
@@ -91,7 +94,7 @@
             return set()
         changed = {name for name, entry in changes if self.say(found, name, entry, revision)}
         found.revision = revision
-        return changed | self.forget()
+        return changed | self.forget(changed)
 
     def many(self, missing: frozenset[str], known: int) -> bool:
         """Hazard: an emptied or half-restored source would take the fleet away in one answer."""
@@ -122,14 +125,14 @@
         source.words[name] = word
         return old is None or replace(word, revision=old.revision) != old
 
-    def forget(self) -> set[str]:
-        """Names of which every word is a deletion: nothing is left to be said of them."""
+    def forget(self, names: set[str]) -> set[str]:
+        """Those of these names of which every word is a deletion: nothing is left to be said of them."""
         gone = set()
-        for name in {name for source in self.sources.values() for name, word in source.words.items()
-                     if word.state is GONE}:
+        for name in names:
             if all(source.words[name].state is GONE for source in self.sources.values()
                    if name in source.words):
                 gone.add(name)
+                self.starts.pop(name, None)
                 for source in self.sources.values():
                     source.words.pop(name, None)
         return gone
@@ -141,9 +144,13 @@
         words = [(source, source.words[name]) for source in self.sources.values() if name in source.words]
         if not words:
             return None
-        latest_ms = max(word.entry.born_ms for _, word in words)
+        latest_ms = max(self.starts.get(name, 0), *(word.entry.born_ms for _, word in words))
         # a word of an earlier start speaks of a process that is no more
         live = [(source, word) for source, word in words if word.entry.born_ms == latest_ms]
+        if not live:  # the start was told by a source that has no opinion now
+            source, word = max(words, key=lambda pair: pair[1].entry.born_ms)
+            state = DRAINING if word.state is GONE else READY
+            return Member(replace(word.entry, state=state, born_ms=latest_ms), source.name)
         careful, word = next((pair for pair in live if pair[1].state is not READY), live[0])
         state = DRAINING if word.state is not READY else READY
         return Member(replace(live[0][1].entry, state=state), careful.name)
