etcd as a source of membership: list and watch over the v3 API, merged with the roster

The roster arrives seconds late, so a draining node may still get purchases. [membership.etcd] of the operator file follows a prefix of etcd's: a pure state machine (follower.py), its shell on the house's HTTP/2 layer, messages by the protobuf library (5.3 MB, imported only where it is on), and a feed through the merge to the decisions, in which the roster is one source of two. Weighed and not taken: grpcio (25 MB, threads), a codec of our own: docs/design/membership.md.

Missing: the members command, leases, drains under the lab's load.

--- /dev/null
+++ b/tests/membership/test_follower.py
@@ -0,0 +1,273 @@
+"""Following a prefix, step by step and without a socket: answers in, actions out."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+
+from wickspread.grpc.status import Code
+from wickspread.membership.etcd import api_pb2 as pb
+from wickspread.membership.etcd.follower import (
+    ASK_US,
+    FIRST_WAIT_US,
+    LAG_US,
+    LONGEST_WAIT_US,
+    SILENT_US,
+    Action,
+    Ask,
+    Authenticate,
+    Changed,
+    Complain,
+    Dial,
+    Drop,
+    Follower,
+    Listed,
+    Watch,
+    end_of,
+)
+
+
+def value(health: str = "in_service", **more: object) -> bytes:
+    return json.dumps({"health": health, "dial": "10.0.0.1:1", "site": "a", "block": 1} | more).encode()
+
+
+def kv(name: str, revision: int, data: bytes | None = None) -> pb.KeyValue:
+    data = value() if data is None else data
+    return pb.KeyValue(key=b"/n/" + name.encode(), value=data, mod_revision=revision)
+
+
+def header(revision: int, cluster: int = 7) -> pb.ResponseHeader:
+    return pb.ResponseHeader(cluster_id=cluster, revision=revision)
+
+
+def answer(revision: int, *kvs: pb.KeyValue, more: bool = False, cluster: int = 7) -> pb.RangeResponse:
+    return pb.RangeResponse(header=header(revision, cluster), kvs=kvs, more=more)
+
+
+def events(revision: int, *told: pb.Event, fragment: bool = False) -> pb.WatchResponse:
+    return pb.WatchResponse(header=header(revision), events=told, fragment=fragment)
+
+
+def put(name: str, revision: int, data: bytes | None = None) -> pb.Event:
+    return pb.Event(type=pb.Event.PUT, kv=kv(name, revision, data))
+
+
+def gone(name: str, revision: int) -> pb.Event:
+    return pb.Event(type=pb.Event.DELETE, kv=pb.KeyValue(key=b"/n/" + name.encode(), mod_revision=revision))
+
+
+def only(kind: type, actions: list[Action]) -> list[Action]:
+    return [one for one in actions if isinstance(one, kind)]
+
+
+def follower(endpoints: int = 3, auth: bool = False) -> Follower:
+    return Follower("/n/", endpoints, auth, random.Random(5))
+
+
+def watching(revision: int = 10) -> Follower:
+    one = follower()
+    one.start(0)
+    one.up(0)
+    found = one.listed(0, answer(revision, kv("a", 3), kv("b", 4)))
+    assert isinstance(found[0], Listed) and [e.name for e in found[0].entries] == ["a", "b"]
+    watch = found[-1]
+    assert isinstance(watch, Watch) and watch.request.create_request.start_revision == revision + 1
+    return one
+
+
+def again(one: Follower, now_us: int) -> list[Action]:
+    """It waits; the next dial succeeds."""
+    assert one.state == "wait" and one.due_us <= now_us
+    assert isinstance(one.tick(now_us)[0], Dial)
+    return one.up(now_us)
+
+
+def test_the_end_of_a_prefix() -> None:
+    assert end_of(b"/n/") == b"/n0" and end_of(b"a\xff") == b"b" and end_of(b"\xff") == b"\0"
+
+
+def test_a_list_is_read_page_by_page_at_one_revision() -> None:
+    one = follower()
+    assert isinstance(one.start(0)[0], Dial)
+    ask = one.up(0)[0]
+    assert isinstance(ask, Ask) and ask.request.key == b"/n/" and ask.request.revision == 0
+    assert not ask.request.serializable
+    second = one.listed(0, answer(10, kv("a", 3), more=True))[0]
+    assert isinstance(second, Ask)
+    assert second.request.key == b"/n/a\0" and second.request.revision == 10
+    found = one.listed(0, answer(12, kv("b", 4)))  # the header is the store's; the keys are those of 10
+    assert isinstance(found[0], Listed) and found[0].revision == 10 and len(found[0].entries) == 2
+    assert isinstance(found[1], Watch) and found[1].request.create_request.start_revision == 11
+
+
+def test_events_of_one_transaction_are_told_together_and_in_order() -> None:
+    one = watching()
+    found = one.watched(1, events(12, put("a", 11, value("terminating")), gone("b", 11), put("b", 11),
+                                  put("c", 12)))
+    first, second = only(Changed, found)
+    assert isinstance(first, Changed) and isinstance(second, Changed)
+    deleted = [(name, entry is None) for name, entry in first.changes]
+    assert deleted == [("a", False), ("b", True), ("b", False)]
+    assert (first.revision, second.revision) == (11, 12)
+
+
+def test_fragments_are_told_when_the_last_is_there() -> None:
+    one = watching()
+    assert one.watched(1, events(11, put("a", 11), fragment=True)) == []
+    found = one.watched(1, events(11, put("b", 11)))
+    assert len(only(Changed, found)) == 1 and len(found[0].changes) == 2  # type: ignore[union-attr]
+
+
+def test_after_a_break_the_watch_goes_on_from_what_was_heard() -> None:
+    one = watching()
+    one.watched(1, events(14, put("a", 14)))
+    found = one.failed(2, "reset")
+    assert isinstance(found[0], Drop) and isinstance(found[1], Complain)
+    actions = again(one, one.due_us)
+    assert isinstance(actions[0], Watch) and actions[0].request.create_request.start_revision == 15
+
+
+def test_progress_moves_the_revision_from_which_a_watch_is_resumed() -> None:
+    one = watching()
+    one.watched(1, pb.WatchResponse(header=header(500), watch_id=-1))
+    one.failed(2, "reset")
+    actions = again(one, one.due_us)
+    assert isinstance(actions[0], Watch) and actions[0].request.create_request.start_revision == 501
+
+
+def test_what_was_heard_twice_is_told_once() -> None:
+    one = watching()
+    one.watched(1, events(11, put("a", 11)))
+    assert only(Changed, one.watched(2, events(11, put("a", 11)))) == []
+
+
+def test_compaction_leads_to_a_new_list() -> None:
+    one = watching()
+    found = one.watched(1, pb.WatchResponse(header=header(90), canceled=True, compact_revision=80))
+    assert only(Drop, found) and only(Dial, found)
+    ask = one.up(2)[0]
+    assert isinstance(ask, Ask) and ask.request.revision == 0
+    listed = one.listed(3, answer(91, kv("a", 85, value("terminating"))))[0]
+    assert isinstance(listed, Listed) and listed.epoch == "7" and listed.revision == 91
+
+
+def test_a_member_with_less_than_was_heard_is_not_listened_to() -> None:
+    one = watching(revision=10)
+    one.watched(1, pb.WatchResponse(header=header(20), canceled=True, compact_revision=15))
+    one.up(2)
+    one.listed(3, answer(30, kv("a", 3)))
+    one.must_list = True
+    one.failed(4, "reset")
+    again(one, one.due_us)
+    found = one.listed(5, answer(25, kv("a", 3)))
+    assert not only(Listed, found) and only(Drop, found) and one.revision == 30
+
+
+def test_a_watch_on_a_member_that_stays_behind_is_left() -> None:
+    one = watching(revision=10)
+    now_us = 0
+    while one.state == "watch" and now_us < 3 * LAG_US:
+        now_us = one.due_us
+        if only(Watch, one.tick(now_us)):
+            one.watched(now_us, pb.WatchResponse(header=header(9), watch_id=-1))
+    assert one.state == "wait" and LAG_US <= now_us <= LAG_US + 2 * ASK_US
+
+
+def test_another_cluster_is_listed_under_another_epoch() -> None:
+    one = watching()
+    found = one.watched(1, pb.WatchResponse(header=header(4, cluster=8), created=True))
+    assert only(Drop, found) and only(Dial, found)
+    one.up(2)
+    listed = one.listed(3, answer(4, kv("a", 2), cluster=8))[0]
+    assert isinstance(listed, Listed) and (listed.epoch, listed.revision) == ("8", 4)
+
+
+def test_a_silent_watch_is_asked_and_then_left() -> None:
+    one = watching()
+    asked = 0
+    while one.state == "watch":
+        now_us = one.due_us
+        asked += len(only(Watch, one.tick(now_us)))
+    assert asked == 1 and one.state == "wait" and SILENT_US <= now_us <= SILENT_US + ASK_US
+
+
+def test_one_that_answers_is_never_left() -> None:
+    one = watching()
+    for _ in range(100):
+        now_us = one.due_us
+        if only(Watch, one.tick(now_us)):
+            one.watched(now_us + 1, pb.WatchResponse(header=header(10), watch_id=-1))
+    assert one.state == "watch"
+
+
+@pytest.mark.parametrize("data", [b"no JSON", b"x" * 1_000_000, b"[]", b'{"health":"odd"}', b""])
+def test_a_value_that_cannot_be_used_leaves_the_last_good_one(data: bytes) -> None:
+    one = watching()
+    found = one.watched(1, events(12, put("a", 11, data), put("c", 12)))
+    changes = [change for action in only(Changed, found) for change in action.changes]  # type: ignore[union-attr]
+    assert [(name, entry is not None and entry.dial) for name, entry in changes] == [
+        ("a", "10.0.0.1:1"), ("c", "10.0.0.1:1")]
+    assert len(only(Complain, found)) == 1
+    one.watched(2, pb.WatchResponse(header=header(90), canceled=True, compact_revision=80))
+    one.up(3)
+    listed = one.listed(4, answer(91, kv("a", 85, data), kv("d", 86, data)))[0]
+    assert isinstance(listed, Listed) and [e.name for e in listed.entries] == ["a"]
+
+
+def test_waits_grow_to_a_bound_and_are_spread() -> None:
+    waits = []
+    for seed in range(200):
+        one = Follower("/n/", 3, False, random.Random(seed))
+        one.start(0)
+        dialled = set()
+        for number in range(12):
+            one.failed(0, "refused")
+            if number == 11:
+                waits.append(one.due_us)
+            dial = one.tick(one.due_us)[0]
+            assert isinstance(dial, Dial)
+            dialled.add(dial.endpoint)
+        assert dialled == {0, 1, 2}
+    assert max(waits) <= LONGEST_WAIT_US and min(waits) >= LONGEST_WAIT_US // 2
+    assert len({wait // 100_000 for wait in waits}) > 15  # a thousand that lost it at once come back apart
+
+
+def test_the_first_wait_is_short_and_hearing_something_makes_it_short_again() -> None:
+    one = watching()
+    for _ in range(9):
+        one.failed(0, "reset")
+        one.tick(one.due_us)
+    one.up(0)
+    one.watched(0, events(11, put("a", 11)))
+    one.failed(0, "reset")
+    assert one.due_us <= FIRST_WAIT_US
+
+
+def test_a_token_is_asked_for_on_every_connection() -> None:
+    one = follower(auth=True)
+    one.start(0)
+    assert isinstance(one.up(0)[0], Authenticate)
+    assert isinstance(one.authenticated(0)[0], Ask)
+    one.listed(0, answer(10))
+    one.failed(1, "etcdserver: invalid auth token", Code.UNAUTHENTICATED)
+    one.tick(one.due_us)
+    assert isinstance(one.up(2)[0], Authenticate)
+
+
+def test_an_answer_too_large_is_asked_for_in_smaller_pages() -> None:
+    one = follower()
+    one.start(0)
+    first = one.up(0)[0]
+    one.failed(1, "too large", Code.RESOURCE_EXHAUSTED)
+    second = again(one, one.due_us)[0]
+    assert isinstance(first, Ask) and isinstance(second, Ask)
+    assert second.request.limit == first.request.limit // 4
+
+
+def test_late_answers_of_a_dropped_connection_do_nothing() -> None:
+    one = watching()
+    one.failed(1, "reset")
+    assert one.watched(2, events(11, put("a", 11))) == [] == one.listed(2, answer(12))
+    assert one.up(2) == [] == one.authenticated(2) == one.failed(2, "again")
--- /dev/null
+++ b/tests/membership/test_sidecar.py
@@ -0,0 +1,165 @@
+"""etcd beside the roster on a real sidecar: who is drained in either gets nothing new."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.membership.test_follower import value
+from tests.sockets import LONG_S, Discovery, Sidecar, Upstream, eventually
+from wickspread.lab.etcd import Member, cluster
+
+
+class Etcd:
+    """The stand-in, in a thread of its own."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.store, members = cluster(1)
+        self.member: Member = members[0]
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.address = self.wait(self.member.serve())
+
+    def wait(self, task: Any) -> Any:
+        return asyncio.run_coroutine_threadsafe(task, self.loop).result(LONG_S)
+
+    def do(self, call: Callable[[], Any]) -> Any:
+        async def run() -> Any:
+            return call()
+
+        return self.wait(run())
+
+    def put(self, upstream: Upstream, **changes: Any) -> None:
+        told: dict[str, Any] = {"dial": upstream.address, "block": 0, "class": "m"}
+        data = value(**(told | changes))
+        self.do(lambda: self.store.commit((f"/n/{upstream.name}", data)))
+
+    def back(self) -> None:
+        self.wait(self.member.serve(int(self.address.rpartition(":")[2])))
+
+
+def sidecar_of(roster: list[Upstream], discovery: Discovery, path: Path) -> Sidecar:
+    """With the libraries that etcd needs, which the deployed environment does not have."""
+    sidecar = Sidecar(roster, discovery, env={"WICKSPREAD_OPERATOR": str(path)})
+    sidecar.command = f"exec {sys.executable} -B -m wickspread.sidecar"
+    return sidecar
+
+
+@contextmanager
+def scene(roster: list[Upstream], etcd: Etcd, more: str = "") -> Iterator[tuple[Sidecar, Discovery]]:
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "operator.toml"
+        path.write_text(f'[membership.etcd]\nendpoints = ["{etcd.address}"]\nprefix = "/n/"\n{more}')
+        entries = [one.entry() for one in roster]
+        with Discovery(entries) as discovery, sidecar_of(roster, discovery, path) as s:
+            yield s, discovery
+            etcd.do(etcd.member.stop)
+
+
+def bodies(sidecar: Sidecar, count: int = 20) -> set[bytes]:
+    return {sidecar.request("GET", "/read/7").body for _ in range(count)}
+
+
+def test_a_drain_in_etcd_counts_though_the_roster_lists_the_node() -> None:
+    with Upstream(b"one") as one, Upstream(b"two") as two:
+        etcd = Etcd()
+        etcd.put(one)
+        etcd.put(two)
+        with scene([one, two], etcd) as (sidecar, discovery):
+            eventually(lambda: etcd.member.watchers)
+            eventually(lambda: bodies(sidecar) == {b"one", b"two"})
+            etcd.put(one, health="terminating")
+            eventually(lambda: bodies(sidecar) == {b"two"})
+            before = len(one.requests)
+            discovery.tell(one.entry())
+            discovery.tell(one.entry(born_ms=0, share=2.0))
+            assert bodies(sidecar) == {b"two"} and len(one.requests) == before
+            etcd.put(one)
+            eventually(lambda: b"one" in bodies(sidecar))
+
+
+def test_a_drain_in_the_roster_counts_though_etcd_lists_the_node() -> None:
+    with Upstream(b"one") as one, Upstream(b"two") as two:
+        etcd = Etcd()
+        etcd.put(one)
+        etcd.put(two)
+        with scene([one, two], etcd) as (sidecar, discovery):
+            eventually(lambda: etcd.member.watchers)
+            discovery.tell(one.entry(health="terminating"))
+            eventually(lambda: bodies(sidecar) == {b"two"})
+            before = len(one.requests)
+            etcd.put(one, share=2.0)
+            assert bodies(sidecar) == {b"two"} and len(one.requests) == before
+            discovery.tell(one.entry(health="terminated"))
+            assert bodies(sidecar) == {b"two"} and len(one.requests) == before
+
+
+def test_a_node_that_etcd_alone_knows_is_used_and_a_new_start_ends_a_drain() -> None:
+    with Upstream(b"one") as one, Upstream(b"two") as two:
+        etcd = Etcd()
+        etcd.put(two, health="terminating", born_ms=5)
+        with scene([one], etcd) as (sidecar, discovery):
+            eventually(lambda: etcd.member.watchers)
+            assert bodies(sidecar) == {b"one"}
+            etcd.put(two, born_ms=6)
+            eventually(lambda: b"two" in bodies(sidecar))
+            etcd.do(lambda: etcd.store.commit((f"/n/{two.name}", None)))
+            eventually(lambda: bodies(sidecar) == {b"one"})
+
+
+def test_while_etcd_is_away_the_last_known_nodes_stay_and_nothing_is_refused() -> None:
+    with Upstream(b"one") as one, Upstream(b"two") as two:
+        etcd = Etcd()
+        etcd.put(two)
+        with scene([one], etcd) as (sidecar, discovery):
+            eventually(lambda: bodies(sidecar) == {b"one", b"two"})
+            etcd.do(etcd.member.stop)
+            end = time.monotonic() + 1.0
+            statuses = []
+            while time.monotonic() < end:
+                statuses.append(sidecar.request("GET", "/read/7").status)
+            assert set(statuses) == {200} and bodies(sidecar) == {b"one", b"two"}
+            etcd.put(two, health="terminating")
+            etcd.back()
+            eventually(lambda: bodies(sidecar) == {b"one"})
+
+
+def test_a_cluster_that_is_not_there_at_the_start_keeps_nobody_waiting() -> None:
+    with Upstream(b"one") as one:
+        etcd = Etcd()
+        etcd.do(etcd.member.stop)
+        with scene([one], etcd) as (sidecar, discovery):
+            assert bodies(sidecar) == {b"one"}
+            assert sidecar.stop() == 0
+
+
+@pytest.mark.parametrize(("more", "key"), [
+    ('username = "u"\n', "membership.etcd.username"), ('tls_ca = "/nowhere"\n', "membership.etcd.tls_ca"),
+    ("endpoint = 5\n", "membership.etcd.endpoint"), ('password_file = 5\n', "membership.etcd.password_file")])
+def test_what_can_not_be_used_ends_the_start_with_one_line(more: str, key: str, tmp_path: Path) -> None:
+    path = tmp_path / "operator.toml"
+    path.write_text(f'[membership.etcd]\nendpoints = ["127.0.0.1:1"]\n{more}')
+    with Discovery([]) as discovery:
+        sidecar = sidecar_of([], discovery, path)
+        starting = threading.Thread(target=enter, args=(sidecar,))
+        starting.start()
+        eventually(lambda: sidecar.lines)
+        assert sidecar.process.wait(LONG_S) == 2
+        assert len(sidecar.lines) == 1 and key in sidecar.lines[0]
+        starting.join(2 * LONG_S)
+
+
+def enter(sidecar: Sidecar) -> None:
+    try:
+        sidecar.__enter__()
+    except AssertionError:
+        return  # it never listens
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -240,6 +240,7 @@
         self.discovery = discovery or Discovery(entries)
         self.own_discovery = discovery is None
         self.before = before
+        self.command = str(DEPLOY["run"])
         self.env = env or {}
         self.listener = listener  # the platform's, which every process inherits
         self.config = {"seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
@@ -258,7 +259,7 @@
         held = () if self.listener is None else (self.listener.fileno(),)
         if self.listener is not None:
             env["PROXY_ACCEPT_FD"] = str(self.listener.fileno())
-        self.process = subprocess.Popen(["/bin/sh", "-c", self.before + DEPLOY["run"]], cwd=ROOT, env=env,
+        self.process = subprocess.Popen(["/bin/sh", "-c", self.before + self.command], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True, pass_fds=held)
         threading.Thread(target=self.read_log, daemon=True).start()
         line = eventually(lambda: [line for line in self.lines if " listens on " in line])[0]
--- /dev/null
+++ b/wickspread/membership/etcd/follower.py
@@ -0,0 +1,289 @@
+"""Following a prefix of etcd's, as a state machine: answers and the time in, actions out. No I/O.
+
+List the prefix at one revision, page by page; watch from the next one; after a break watch on from the last
+revision that was heard. A list is made anew only where the watch can't go on: the revisions between have been
+compacted, or it is another cluster (Watch API, "Watch streams"). Of a member that has less than was heard
+before nothing is taken. Times are microseconds.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from itertools import groupby
+
+from wickspread.grpc.status import Code
+from wickspread.interface import UpstreamState
+from wickspread.membership.etcd import api_pb2 as pb
+from wickspread.membership.model import Entry, EntryError, parse, short
+
+MOST_KEYS = 50_000  # of a prefix
+PAGE = 1000  # keys of one answer to a list
+DIAL_US = 2_000_000  # from the dial to the first answer
+LIST_US = 5_000_000  # for one page
+ASK_US = 1_000_000  # a watch that has been silent for so long is asked for its progress
+SILENT_US = 3_500_000  # and left when it has been for so long
+LAG_US = 3_000_000  # a member that stays behind what was heard before is left after this
+FIRST_WAIT_US = 50_000  # between two tries; doubled, and drawn from the upper half of it
+LONGEST_WAIT_US = 5_000_000
+GONE = UpstreamState.GONE
+
+
+@dataclass(slots=True, frozen=True)
+class Dial:
+    """Open a connection to the endpoint of this number; `up` or `failed` follows."""
+
+    endpoint: int
+
+
+@dataclass(slots=True, frozen=True)
+class Authenticate:
+    """Ask for a token; `authenticated` or `failed` follows."""
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A Range call; `listed` or `failed` follows."""
+
+    request: pb.RangeRequest
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """The first request of a new watch stream, or a further one on it; `watched` follows, often."""
+
+    request: pb.WatchRequest
+
+
+@dataclass(slots=True, frozen=True)
+class Drop:
+    """Close the connection, and with it all calls; nothing follows."""
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """The whole prefix at a revision."""
+
+    epoch: str
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Changed:
+    """What one revision changed, in order; None = deleted."""
+
+    epoch: str
+    revision: int
+    changes: tuple[tuple[str, Entry | None], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Complain:
+    """For the log."""
+
+    text: str
+
+
+Action = Dial | Authenticate | Ask | Watch | Drop | Listed | Changed | Complain
+
+
+def end_of(prefix: bytes) -> bytes:
+    """The first key behind all that begin with the prefix (KV API, `range_end`)."""
+    cut = prefix.rstrip(b"\xff")
+    return cut[:-1] + bytes([cut[-1] + 1]) if cut else b"\0"
+
+
+class Follower:
+    """One prefix, over several members."""
+
+    def __init__(self, prefix: str, endpoints: int, auth: bool, dice: random.Random) -> None:
+        self.prefix = prefix.encode()
+        self.end = end_of(self.prefix)
+        self.auth = auth
+        self.dice = dice
+        self.order = dice.sample(range(endpoints), endpoints)  # hazard: all sidecars at the first one
+        self.at = 0
+        self.state = "idle"  # dial, auth, list, watch, wait
+        self.due_us = 0  # when `tick` has something to do
+        self.tries = 0  # that failed since something was last heard
+        self.epoch = ""
+        self.revision = -1  # all up to it has been told
+        self.must_list = True
+        self.limit = PAGE
+        self.pages: dict[str, Entry] = {}  # of the list that is being read
+        self.read = 0  # keys of it so far
+        self.pinned = 0  # its revision
+        self.pinned_epoch = ""
+        self.events: list[pb.Event] = []  # of a fragmented answer
+        self.heard_us = 0
+        self.behind_us = 0  # since when the member has less than was heard; 0 = it has not
+        self.asked = False  # for its progress
+        self.good: dict[str, Entry] = {}  # the last good value of each node
+
+    # What happens
+
+    def start(self, now_us: int) -> list[Action]:
+        return self.dial(now_us)
+
+    def up(self, now_us: int) -> list[Action]:
+        """The connection stands."""
+        if self.state != "dial":
+            return []
+        if self.auth:
+            self.state, self.due_us = "auth", now_us + DIAL_US
+            return [Authenticate()]
+        return self.begin(now_us)
+
+    def authenticated(self, now_us: int) -> list[Action]:
+        return self.begin(now_us) if self.state == "auth" else []
+
+    def listed(self, now_us: int, answer: pb.RangeResponse) -> list[Action]:
+        if self.state != "list":
+            return []
+        epoch, revision = str(answer.header.cluster_id), answer.header.revision
+        if epoch == self.epoch and revision < self.revision:
+            return self.fail(now_us, f"a member at revision {revision}, after {self.revision}")
+        if self.read and epoch != self.pinned_epoch:
+            return self.fail(now_us, "another cluster in the middle of a list")
+        if not self.read:
+            self.pinned, self.pinned_epoch = revision, epoch
+        self.read += len(answer.kvs)
+        found: list[Action] = []
+        if self.read > MOST_KEYS:
+            return self.fail(now_us, f"over {MOST_KEYS} keys")
+        for kv in answer.kvs:
+            entry = self.entry(kv, found)
+            if entry is not None:
+                self.pages[entry.name] = entry
+        if answer.more and answer.kvs:
+            self.due_us = now_us + LIST_US
+            return [*found, self.page(answer.kvs[-1].key + b"\0", self.pinned)]
+        self.good, self.pages = self.pages, {}
+        self.epoch, self.revision, self.must_list, self.limit = epoch, self.pinned, False, PAGE
+        entries = tuple(self.good.values())
+        return [Listed(epoch, self.pinned, entries), *found, *self.watch(now_us)]
+
+    def watched(self, now_us: int, answer: pb.WatchResponse) -> list[Action]:
+        if self.state != "watch":
+            return []
+        self.heard_us, self.asked = now_us, False
+        if answer.compact_revision > 0:
+            text = f"compacted up to revision {answer.compact_revision}, after {self.revision}: listed anew"
+            return [Complain(text), *self.relist(now_us)]
+        if answer.canceled:
+            return self.fail(now_us, f"the watch was cancelled: {short(answer.cancel_reason)}")
+        if answer.header.cluster_id and str(answer.header.cluster_id) != self.epoch:
+            return [Complain("it is another cluster: listed anew"), *self.relist(now_us)]
+        self.tries = 0
+        found: list[Action] = []
+        self.events.extend(answer.events)
+        if not answer.fragment:  # all of a revision is told together
+            events, self.events = self.events, []
+            for revision, group in groupby(events, key=lambda event: event.kv.mod_revision):
+                if revision > self.revision:
+                    found.append(self.changed(revision, list(group), found))
+                    self.revision = revision
+            if not events and not answer.created and answer.header.revision > self.revision:
+                self.revision = answer.header.revision  # progress: nothing of ours has changed up to it
+        if answer.header.revision >= self.revision:
+            self.behind_us = 0
+        elif self.behind_us == 0:
+            self.behind_us = now_us
+        self.due_us = now_us + ASK_US
+        return found
+
+    def failed(self, now_us: int, why: str, code: Code | None = None) -> list[Action]:
+        """A call, a dial or the connection has ended. The code is a call's, if it has one."""
+        if self.state in ("idle", "wait"):
+            return []
+        if code is Code.OUT_OF_RANGE and self.state == "list":
+            self.must_list = True  # its pages were compacted meanwhile
+        if code is Code.RESOURCE_EXHAUSTED and self.state == "list":
+            self.limit = max(1, self.limit // 4)  # hazard: values of a MB by the hundred in one answer
+        return self.fail(now_us, why)
+
+    def tick(self, now_us: int) -> list[Action]:
+        """Something may be due."""
+        if now_us < self.due_us:
+            return []
+        if self.state == "wait":
+            return self.dial(now_us)
+        if self.state == "watch":
+            if now_us - self.heard_us >= SILENT_US:
+                return self.fail(now_us, "silence")
+            if self.behind_us and now_us - self.behind_us >= LAG_US:
+                return self.fail(now_us, f"a member that stays behind revision {self.revision}")
+            self.due_us = now_us + (ASK_US if not self.asked else max(1, self.heard_us + SILENT_US - now_us))
+            if self.asked:
+                return []
+            self.asked = True
+            return [Watch(pb.WatchRequest(progress_request=pb.WatchProgressRequest()))]
+        return self.fail(now_us, "no answer in time") if self.state != "idle" else []
+
+    # What follows
+
+    def dial(self, now_us: int) -> list[Action]:
+        self.state, self.due_us = "dial", now_us + DIAL_US
+        return [Dial(self.order[self.at])]
+
+    def begin(self, now_us: int) -> list[Action]:
+        return self.list_all(now_us) if self.must_list else self.watch(now_us)
+
+    def list_all(self, now_us: int) -> list[Action]:
+        self.state, self.due_us = "list", now_us + LIST_US
+        self.pages, self.read, self.events = {}, 0, []
+        return [self.page(self.prefix, 0)]
+
+    def page(self, key: bytes, revision: int) -> Ask:
+        # linearizable: a member that is cut off from the others can't answer it
+        return Ask(pb.RangeRequest(key=key, range_end=self.end, limit=self.limit, revision=revision))
+
+    def relist(self, now_us: int) -> list[Action]:
+        """On a connection of its own: the watch stream may hold more of what is of no use now."""
+        self.must_list = True
+        return [Drop(), *self.dial(now_us)]
+
+    def watch(self, now_us: int) -> list[Action]:
+        self.state, self.heard_us, self.asked = "watch", now_us, False
+        self.due_us, self.behind_us, self.events = now_us + ASK_US, 0, []
+        return [Watch(pb.WatchRequest(create_request=pb.WatchCreateRequest(
+            key=self.prefix, range_end=self.end, start_revision=self.revision + 1, progress_notify=True,
+            fragment=True)))]
+
+    def fail(self, now_us: int, why: str) -> list[Action]:
+        """The next member, after a while."""
+        self.at = (self.at + 1) % len(self.order)
+        wait_us = min(FIRST_WAIT_US << min(self.tries, 20), LONGEST_WAIT_US)
+        self.tries += 1
+        self.state = "wait"
+        self.due_us = now_us + int(wait_us * (0.5 + self.dice.random() / 2))
+        self.pages, self.read, self.events = {}, 0, []
+        return [Drop(), Complain(why)]
+
+    def changed(self, revision: int, events: Sequence[pb.Event], found: list[Action]) -> Changed:
+        changes: list[tuple[str, Entry | None]] = []
+        for event in events:
+            name = self.name(event.kv.key)
+            if event.type == pb.Event.DELETE:
+                self.good.pop(name, None)
+                changes.append((name, None))
+                continue
+            entry = self.entry(event.kv, found)
+            if entry is not None:
+                self.good[name] = entry
+                changes.append((name, entry))
+        return Changed(self.epoch, revision, tuple(changes))
+
+    def entry(self, kv: pb.KeyValue, found: list[Action]) -> Entry | None:
+        """What a key holds; where that can't be used, what it last held that could."""
+        name = self.name(kv.key)
+        try:
+            return parse(name, kv.value)
+        except EntryError as error:
+            found.append(Complain(str(error)))
+            return self.good.get(name)
+
+    def name(self, key: bytes) -> str:
+        return key[len(self.prefix):].decode("utf-8", "backslashreplace")
--- a/wickspread/operator/file.py
+++ b/wickspread/operator/file.py
@@ -14,11 +14,12 @@
 from dataclasses import dataclass, field, fields
 from typing import Any, TypeVar
 
-from wickspread.sidecar.config import ConfigError
+from wickspread.sidecar.config import ConfigError, parse_address
 
 VARIABLE = "WICKSPREAD_OPERATOR"
 MOST_BYTES = 1024 * 1024
 MOST_METHODS = 10_000
+MOST_TEXTS = 100
 Table = TypeVar("Table")
 
 
@@ -45,11 +46,32 @@
     probe: str = field(default="http", metadata={"choices": ("http", "grpc")})  # how nodes' health is asked
 
 
+@dataclass(slots=True, frozen=True)
+class Etcd:
+    """[membership.etcd]: nodes under a prefix, followed beside the roster. Off where no endpoint is named."""
+
+    endpoints: tuple[str, ...] = ()  # HOST:PORT of the members
+    prefix: str = "/komiks/nodes/"  # a key is this and a node's name, its value an entry of discovery's
+    username: str = ""
+    password_file: str = ""
+    tls_ca: str = ""  # any of these turns TLS on
+    tls_cert: str = ""
+    tls_key: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Membership:
+    """[membership]: sources beside the roster."""
+
+    etcd: Etcd = field(default_factory=Etcd, metadata={"table": Etcd})
+
+
 @dataclass(slots=True, frozen=True)
 class Operator:
     """The whole file."""
 
     grpc: Grpc = field(default_factory=Grpc)
+    membership: Membership = field(default_factory=Membership)
 
 
 def load(env: Mapping[str, str]) -> Operator:
@@ -76,12 +98,13 @@
         told = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise OperatorError(f"not TOML: {' '.join(str(error).split())}") from error
-    tables: dict[str, Any] = {"grpc": Grpc}
+    tables: dict[str, Any] = {"grpc": Grpc, "membership": Membership}
     for key in told:
         if key not in tables:
             raise OperatorError(f"{plain(key)}: unknown; expected one of {', '.join(tables)}")
     operator = Operator(**{key: table(key, told[key], kind) for key, kind in tables.items() if key in told})
     check_methods(operator.grpc)
+    check_etcd(operator.membership.etcd)
     return operator
 
 
@@ -95,6 +118,9 @@
         path = f"{name}.{plain(key)}"
         if key not in known:
             raise OperatorError(f"{path}: unknown; expected one of {', '.join(known)}")
+        if "table" in known[key].metadata:
+            values[key] = table(path, value, known[key].metadata["table"])
+            continue
         values[key] = checked(path, value, str(known[key].type), known[key].metadata)
     return kind(**values)
 
@@ -118,6 +144,11 @@
             expected = " or ".join(repr(one) for one in limits.get("choices", ())) or "a text"
             raise OperatorError(f"{path}: expected {expected}, got {shown(value)}")
         return value
+    if wanted.startswith("tuple"):
+        if (not isinstance(value, list) or len(value) > MOST_TEXTS
+                or not all(isinstance(one, str) for one in value)):
+            raise OperatorError(f"{path}: expected a list of at most {MOST_TEXTS} texts, got {shown(value)}")
+        return tuple(value)
     if not isinstance(value, dict):
         raise OperatorError(f"{path}: expected a table, got {shown(value)}")
     for key, inner in value.items():
@@ -137,6 +168,21 @@
                                 "/package.Service/*")
 
 
+def check_etcd(etcd: Etcd) -> None:
+    """What belongs together, and the form of addresses."""
+    for number, one in enumerate(etcd.endpoints):
+        try:
+            parse_address(one)
+        except ConfigError as error:
+            raise OperatorError(f"membership.etcd.endpoints: the entry {number + 1}: {error}") from error
+    if not etcd.prefix:
+        raise OperatorError("membership.etcd.prefix: expected a prefix, got ''")
+    for key, needed in (("username", "password_file"), ("password_file", "username"),
+                        ("tls_key", "tls_cert")):
+        if getattr(etcd, key) and not getattr(etcd, needed):
+            raise OperatorError(f"membership.etcd.{key}: needs {needed} as well")
+
+
 def plain(key: str) -> str:
     """A key as it stands, or quoted where it would not be one word."""
     return key if re.fullmatch(r"[A-Za-z0-9_-]{1,60}", key) else shown(key)
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -63,7 +63,15 @@
     if config.door is not None and hand is not None:
         door = Door(hand.calls())
         await door.open(config.door)
-    engine.list_changed(api.ListKind.CACHED, known, version)
+    source = None
+    if operator.membership.etcd.endpoints:
+        try:
+            from wickspread.membership.start import start as start_sources
+        except ModuleNotFoundError as error:
+            raise operators.OperatorError(
+                f"membership.etcd: needs the `etcd` extra; no {error.name}") from error
+        discovery.sink, source = start_sources(operator.membership, engine, directory, config.seed)
+    discovery.sink.list_changed(api.ListKind.CACHED, known, version)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         engine.loop.add_signal_handler(number, stop.set)
@@ -82,6 +90,8 @@
     await stop.wait()
     await server.stop()
     discovery.close()
+    if source is not None:
+        source.close()
     if door is not None:
         door.close()
     if hand is not None:
