At the limit of connections a client that writes slowly makes room last

Traced by noting whom the sidecar ended to make room: of those with no whole request the oldest, mostly clients half a second into a request that they write for up to 2 s; their requests were lost.

Those that have written nothing make room first, then kept connections while few wait, then the begun ones, and these only where few silent ones are about to make room.

The test fails with the order before.

--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -417,3 +417,16 @@
         last = busy.read()
         assert last is not None and last.status == 200 and last.headers["connection"] == "close"
         assert sidecar.process.wait(LONG_S) == 0
+
+
+def test_of_a_crowd_that_says_nothing_none_pushes_out_a_client_that_writes_slowly(pair: Pair) -> None:
+    with Sidecar([pair.upstream], before="ulimit -n 72; ") as sidecar:
+        slow = sidecar.client()  # the oldest of all
+        slow.socket.sendall(b"POST /pa")
+        crowd = [sidecar.client() for _ in range(30)]  # more than are let in together
+        assert sidecar.request("GET", "/read/7").status == 200
+        slow.socket.sendall(f"y/4 HTTP/1.1\r\n{HEAD}Content-Length: 1\r\n\r\nx".encode())
+        found = slow.read()
+        assert found is not None and found.status == 200
+        for client in [slow, *crowd]:
+            client.close()
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -154,10 +154,14 @@
         """At the limit, the one to end for a new one: never one in use, and one that has been of use only if
         there is none that hasn't. Hazard: a usual client that has just connected has not asked yet."""
         old = self.loop.time() - YOUNG_S
-        group = [one for one in self.waiting if one.since <= old]
+        waiting = [one for one in self.waiting if one.since <= old]
+        # hazard: a usual client may take seconds to write its request; of a crowd most have written nothing
+        group = [one for one in waiting if not (one.reading or one.unparsed)]
         # hazard: the one accepted last is always young; to wait for it each time lets one in in 50 ms
         if len(self.waiting) * 4 < self.most:
             group.extend(self.idle)
+        if sum(not (one.reading or one.unparsed) for one in self.waiting) * 4 < self.most:
+            group.extend(one for one in waiting if one.reading or one.unparsed)
         return next((one for one in group if one.quiet()), None)
 
     def accept(self) -> None:
