Suspending and restoring are one piece, as are a source's words and their times

Read once more: SUSPEND and RESTORE were the same steps twice, three callers of the feed noted times and marked names alike, and each slice of a large list copied all the names that still wait. Behaviour is unchanged.

--- a/wickspread/membership/feed.py
+++ b/wickspread/membership/feed.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from itertools import islice
 
 from wickspread import interface as api
 from wickspread.membership.merge import Merge
@@ -44,8 +45,7 @@
         else:
             changed = self.merge.listed("roster", "", self.count, [word for _, word in words if word])
         answered = kind in (api.ListKind.FULL, api.ListKind.DELTA)
-        self.note("roster", changed)
-        self.mark(changed, answered)
+        self.mark("roster", changed, answered)
 
     def list_failed(self) -> None:
         self.engine.list_failed()
@@ -63,15 +63,11 @@
     # Further sources
 
     def listed(self, source: str, epoch: str, revision: int, entries: tuple[Entry, ...]) -> None:
-        changed = self.merge.listed(source, epoch, revision, entries)
-        self.note(source, changed)
-        self.mark(changed)
+        self.mark(source, self.merge.listed(source, epoch, revision, entries))
 
     def changed(self, source: str, epoch: str, revision: int,
                 changes: tuple[tuple[str, Entry | None], ...]) -> None:
-        changed = self.merge.changed(source, epoch, revision, changes)
-        self.note(source, changed)
-        self.mark(changed)
+        self.mark(source, self.merge.changed(source, epoch, revision, changes))
 
     def note(self, source: str, names: Iterable[str]) -> None:
         """When a source's word for these has changed; nothing is kept of those that have gone."""
@@ -85,8 +81,10 @@
 
     # To the decisions
 
-    def mark(self, names: Iterable[str], answered: bool = False) -> None:
-        """Of these the decisions are to be told: at once who leaves, the others a slice at a time."""
+    def mark(self, source: str, names: set[str], answered: bool = False) -> None:
+        """A source's word for these has changed, and the decisions are to be told: at once who leaves, the
+        others a slice at a time."""
+        self.note(source, names)
         leaving: list[str] = []
         others: list[str] = []
         for name in names:
@@ -102,7 +100,7 @@
 
     def work(self) -> None:
         """The next slice."""
-        names = list(self.waiting)[:SLICE] if len(self.waiting) > SLICE else list(self.waiting)
+        names = list(islice(self.waiting, SLICE))
         for name in names:
             del self.waiting[name]
         self.working = bool(self.waiting)
--- a/wickspread/operations/hand.py
+++ b/wickspread/operations/hand.py
@@ -59,24 +59,21 @@
         return "\n".join([*self.engine.figures.lines(*self.engine.members()), "end"])
 
     def suspend(self, name: str) -> str:
-        try:
-            self.suspended.check(name)
-        except Unknown as error:
-            raise CallError(str(error)) from error
-        # hazard: kept before it is in force; a successor that starts now must not miss it
-        kept = self.handover.put(name)
-        self.apply(self.suspended.names | {name})
-        log.info("upstream %s is suspended by hand", name)
-        return "done" if kept else "done, for this process alone"
+        return self.hand(name, True)
 
     def restore(self, name: str) -> str:
+        return self.hand(name, False)
+
+    def hand(self, name: str, out: bool) -> str:
+        """Hold an upstream out, or no more."""
         try:
             self.suspended.check(name)
         except Unknown as error:
             raise CallError(str(error)) from error
-        kept = self.handover.take(name)
-        self.apply(self.suspended.names - {name})
-        log.info("upstream %s is restored by hand", name)
+        # hazard: kept before it is in force; a successor that starts now must not miss it
+        kept = self.handover.put(name) if out else self.handover.take(name)
+        self.apply(self.suspended.names | {name} if out else self.suspended.names - {name})
+        log.info("upstream %s is %s by hand", name, "suspended" if out else "restored")
         return "done" if kept else "done, for this process alone"
 
     def pause(self, _: str) -> str:
