Who holds a connection at the limit is decided by evidence, in a pure module

At the limit a crowd that was let in a few at a time pushed out clients that had begun a request and were still writing it. wickspread/sidecar/admission.py now says who makes room: who has written nothing, then who rests between requests, then who has stalled; a request that goes on coming is never ended for room.

Not taken: a minimum rate of bytes (a client's 2 s in two pieces has none for a second), room by class (the class is known with the head, when it is whole), leaving the crowd in the backlog (it would keep usual ones out).

--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -7,6 +7,7 @@
 import socket
 from typing import TYPE_CHECKING, Protocol
 
+from wickspread.sidecar.admission import Admission
 from wickspread.sidecar.bodies import Spool, Upload
 from wickspread.sidecar.client import ClientConnection, Pending
 from wickspread.sidecar.config import Address
@@ -20,7 +21,6 @@
 
 BACKLOG = 512
 SWEEP_S = 0.2
-YOUNG_S = 0.05  # a connection's first request follows its accept; the loop may be busy meanwhile
 DRAIN_NOTICE_S = 0.4  # the front asks ten times a second, and sends new connections for 0.2 s after a no
 ACCEPT_AFTER_STOP_S = 0.5  # new connections go on coming for up to 0.4 s after SIGTERM
 LOOK_S = 0.01
@@ -69,9 +69,7 @@
         self.most = self.whole = most
         self.loop = engine.loop
         self.connections: set[Incoming] = set()
-        # those with no request under way: the one there for longest comes first
-        self.waiting: dict[Incoming, None] = {}  # no whole request has come
-        self.idle: dict[Incoming, None] = {}  # between requests
+        self.places: Admission[Incoming] = Admission(most)
         self.spool = spool or Spool(4 * 1024 * 1024)
         self.uploads: dict[ClientConnection, None] = {}  # bodies that are passed on as they come
         self.open: set[bytes] = set()  # Req-Ids of requests that are not answered
@@ -105,19 +103,18 @@
         return bound
 
     def busy(self, connection: Incoming) -> None:
-        self.idle.pop(connection, None)
-        self.waiting.pop(connection, None)
+        self.places.busy(connection)
 
     def rests(self, connection: Incoming) -> None:
         """Nothing is pending. Hazard: at the limit it makes room for those that wait to be accepted; if only
         closed ones did, kept connections would shut new ones out."""
-        between = connection.asked and not connection.reading
-        (self.idle if between else self.waiting)[connection] = None
-        # hazard: clients may open only so many; if each asks once and stays, nobody could ask any more
-        if len(self.idle) > self.most // 2:
-            oldest = next(iter(self.idle))
-            if oldest is not connection and oldest.quiet():
+        now = self.loop.time()
+        if connection.asked and not connection.reading:
+            oldest = self.places.rests(connection, now)
+            if oldest is not None and oldest.quiet():
                 self.drop(oldest)
+        else:
+            self.places.wrote(connection, now)
         self.resume()
 
     def sweep(self) -> None:
@@ -126,13 +123,13 @@
         now = self.loop.time()
         for sender in [one for one in self.uploads if not one.paused and now - one.since >= one.grace_s]:
             sender.reject(Rejected(408, "the request did not come whole in time"))
-        for connection in [one for one in self.waiting if now - one.since >= one.grace_s]:
+        for connection in [one for one in self.places.unasked() if now - one.since >= one.grace_s]:
             if connection.reading or connection.unparsed:
                 self.busy(connection)
                 connection.reject(Rejected(408, "the request did not come whole in time"))
             elif connection.quiet():
                 self.drop(connection)
-        for connection in [one for one in self.idle if now - one.since >= one.idle_s]:
+        for connection in [one for one in self.places.idle if now - one.since >= one.idle_s]:
             if connection.quiet():
                 self.drop(connection)
 
@@ -151,18 +148,8 @@
         self.loop.call_later(RETRY_ACCEPT_S, self.resume)
 
     def spare(self) -> Incoming | None:
-        """At the limit, the one to end for a new one: never one in use, and one that has been of use only if
-        there is none that hasn't. Hazard: a usual client that has just connected has not asked yet."""
-        old = self.loop.time() - YOUNG_S
-        waiting = [one for one in self.waiting if one.since <= old]
-        # hazard: a usual client may take seconds to write its request; of a crowd most have written nothing
-        group = [one for one in waiting if not (one.reading or one.unparsed)]
-        # hazard: the one accepted last is always young; to wait for it each time lets one in in 50 ms
-        if len(self.waiting) * 4 < self.most:
-            group.extend(self.idle)
-        if sum(not (one.reading or one.unparsed) for one in self.waiting) * 4 < self.most:
-            group.extend(one for one in waiting if one.reading or one.unparsed)
-        return next((one for one in group if one.quiet()), None)
+        """At the limit, the one to end for a new one."""
+        return next((one for one in self.places.spare(self.loop.time()) if one.quiet()), None)
 
     def accept(self) -> None:
         """Hazard: the loop's own server closes what it has no descriptor for, and a request already
@@ -186,7 +173,7 @@
                 self.drop(spare)
             connection = ClientConnection(self)
             self.connections.add(connection)
-            self.waiting[connection] = None
+            self.places.accepted(connection, connection.since)
             task = self.loop.create_task(self.adopt(client, connection))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
@@ -236,7 +223,7 @@
 
     def shrink(self, half: bool) -> None:
         """Keep to half of the connections, or no more."""
-        self.most = max(1, self.whole // 2) if half else self.whole
+        self.most = self.places.most = max(1, self.whole // 2) if half else self.whole
         for _ in range(len(self.connections) - self.most):
             spare = self.spare()
             if spare is None:
