A process that replaces another begins with what that one has learnt

A successor learnt its upstreams' slots, failing shares and usual answers anew. The decisions take it as an event (Learnt), bounded, never in place of what they have seen themselves; what is alike everywhere closes nothing. A property test found that windows closed everywhere shut a successor for seconds.

--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -11,12 +11,13 @@
 from dataclasses import replace
 
 from wickspread import interface as api
-from wickspread.fleet import FEW, Fleet, Server, Slots
+from wickspread.fleet import FEW, MOST_SLOTS, Fleet, Server, Slots
 from wickspread.subset import Subset
 
 MOST_AT_FIRST = 8.0  # first slots an upstream, all sidecars together: what a few cores serve within an aim
 LEAST_IN_ALL = 3.0  # first slots of one sidecar at all upstreams: 2 refuse what comes together, 4 crowd
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
+LEAST_LEARNT = 1 / 8  # what another process has learnt closes an upstream to no less
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
 ANYWAY = 1 / 8  # of draws are blind to who fails, else one that failed would not be seen to be well again
@@ -124,6 +125,8 @@
             self.requests[event.request].done = True  # the answer is the client's now
         elif isinstance(event, api.UpstreamsUpdated):
             self.on_list(event)
+        elif isinstance(event, api.Learnt):
+            self.on_learnt(event)
         elif isinstance(event, api.ProbeEnded) and event.upstream in self.servers:
             server_told = self.servers[event.upstream]
             self.on_report(server_told, event.report)
@@ -621,6 +624,33 @@
         if not ready:
             self.subset.members.pop(entry.id, None)
 
+    def learnt(self) -> api.Learnt:
+        """What the next process of this sidecar may begin with."""
+        return api.Learnt(list(self.answer_us), self.total.window / self.total.first, [
+            api.LearntUpstream(one.entry.id, one.slots.window, one.failing, one.answer_us)
+            for one in self.servers.values() if one.answered_us > 0 or one.failing > 0.0])
+
+    def on_learnt(self, event: api.Learnt) -> None:
+        """In place of first guesses, never of what this process has seen itself. Hazard: a slot that rests
+        does so from now on, else each process that starts would try the ill upstreams at once. Hazard: what
+        is alike everywhere is no upstream's fault, and may be over: the one in the middle begins with a
+        slot."""
+        windows = sorted(max(one.window, LEAST_LEARNT) for one in event.upstreams)
+        scale = max(1.0, 1.0 / windows[len(windows) // 2]) if windows else 1.0
+        for kind, told_us in enumerate(event.answers_us[:len(self.answer_us)]):
+            self.answer_us[kind] = told_us or self.answer_us[kind]
+        self.total.window = min(max(event.total, 0.5), MOST_SLOTS) * self.total.first
+        for one in event.upstreams:
+            server = self.servers.get(one.upstream)
+            if server is None or server.answered_us > 0 or server.failing > 0.0:
+                continue
+            slots = server.slots
+            slots.window = min(max(one.window, LEAST_LEARNT) * scale, MOST_SLOTS * slots.first)
+            server.failing, server.answer_us = min(max(one.failing, 0.0), 1.0), max(one.answer_us, 0.0)
+            slots.rest(self.now_us, self.quickest_us / 4, self.random.random())
+            self.fleet.touch(server, self.now_us)
+        self.renew()
+
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
             self.ask_list_us = at_us
--- a/wickspread/interface.py
+++ b/wickspread/interface.py
@@ -209,6 +209,25 @@
     report: list[float] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class LearntUpstream:
+    """What another process of this sidecar has seen of one upstream since it started."""
+
+    upstream: int
+    window: float  # its open slots
+    failing: float  # share of its last attempts that failed, 0 to 1
+    answer_us: float  # its usual answer; 0 = none seen
+
+
+@dataclass(slots=True)
+class Learnt:
+    """What the process before this one has learnt; told before the first request."""
+
+    answers_us: list[float]  # by class, the usual answer; 0 = not known
+    total: float  # slots of all upstreams together, as a multiple of the first ones
+    upstreams: list[LearntUpstream]
+
+
 @dataclass(slots=True)
 class TimerFired:
     token: int
@@ -221,7 +240,7 @@
 
 
 Event = (UpstreamsUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
-         | TimerFired | PeerMessage)
+         | Learnt | TimerFired | PeerMessage)
 
 
 # Actions
--- a/wickspread/operations/hand.py
+++ b/wickspread/operations/hand.py
@@ -9,6 +9,7 @@
 from wickspread import interface as api
 from wickspread.operations.door import Call, CallError
 from wickspread.operations.handover import Handover
+from wickspread.operations.memory import Memory
 from wickspread.operations.suspended import Suspended, Unknown
 from wickspread.sidecar.engine import Engine
 from wickspread.sidecar.listing import Directory
@@ -40,6 +41,7 @@
         self.suspended = Suspended()
         self.serving = False  # clients are taken
         self.suspended.replace(handover.read() or ())
+        self.memory = Memory(engine, directory, handover)
         engine.hold = self.hold
         self.timer = engine.loop.call_later(LOOK_S, self.look)
         self.share()
@@ -117,9 +119,12 @@
 
     def share(self) -> None:
         """While there are two processes of this sidecar, each keeps to half of what both may hold."""
-        alone = self.handover.alone() and not self.handover.succeeded()
+        succeeded = self.handover.succeeded()
+        alone = self.handover.alone() and not succeeded
         self.server.shrink(not alone)
         self.engine.pool.shrink(not alone)
+        if succeeded and self.serving:
+            self.memory.leave()
 
     def close(self) -> None:
         self.timer.cancel()
--- a/wickspread/operations/handover.py
+++ b/wickspread/operations/handover.py
@@ -20,6 +20,7 @@
 log = logging.getLogger("wickspread")
 
 FOLDER = "wickspread"
+REMEMBERED = "remembered"
 SERVING, NEXT = "serving", "next"  # locked by the process that serves, and by its successor
 PART = ".part"
 
@@ -97,6 +98,36 @@
         for name in list(self.locks):
             self.unlock(name)
 
+    # What was learnt
+
+    def leave(self, data: bytes) -> bool:
+        """Put it where the next process finds it; one whole file or the one before. False if it can't be."""
+        if self.folder is None:
+            return False
+        part = self.folder / f"{REMEMBERED}.{os.getpid()}{PART}"
+        try:
+            part.write_bytes(data)
+            part.replace(self.folder / REMEMBERED)
+        except OSError as error:
+            log.warning("what was learnt can't be left for a next process: %s", error)
+            with contextlib.suppress(OSError):
+                part.unlink(missing_ok=True)
+            return False
+        return True
+
+    def left(self, most: int) -> tuple[bytes, float] | None:
+        """What was left, `most` bytes and one of it, and when (Unix time); None if nothing was."""
+        if self.folder is None:
+            return None
+        try:
+            with open(self.folder / REMEMBERED, "rb") as file:
+                return file.read(most + 1), os.fstat(file.fileno()).st_mtime
+        except FileNotFoundError:
+            return None
+        except OSError as error:
+            log.warning("what was learnt before can't be read: %s", error)
+            return None
+
     # Suspensions
 
     def put(self, name: str) -> bool:
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -84,6 +84,7 @@
         # process before this one serves meanwhile
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(engine.listed.wait(), LIST_S)
+        await hand.memory.take_over()
     host, port = server.listen(config.listen, config.accept_fd)
     if hand is not None:
         hand.serving = True
