--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -1,9 +1,10 @@
-"""CPU time of the whole sidecar for one request, against a bare pass-through in the same run.
+"""CPU time of the whole sidecar for one request, compiled and from its sources, against a bare pass-through.
 
     python -m benchmarks.sidecar [--requests 6000] [--sizes 16,256,1000] [--profile FILE]
 
 Nodes that answer at once, in a process of their own; a closed loop of 8 clients; the CPU time of the process
-under test from /proc. Rounds of both take turns, and the median is shown, as these machines are noisy.
+under test from /proc. Rounds take turns, and the median of what each turn gave is shown, in us and against
+the pass-through of the same turn, as these machines are noisy.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 
 import uvloop
 
+from wickspread import compiled
 from wickspread.lab.http1 import ClientPeer, Request, ServerPeer
 from wickspread.lab.ledger import Ledger
 from wickspread.lab.nodes import address_of
@@ -79,8 +81,9 @@
     return statuses
 
 
-async def measure(size: int, requests: int, profile: str | None) -> tuple[float, float, Counter[int]]:
-    """Median CPU us a request of the pass-through and of the sidecar, and the sidecar's statuses."""
+async def measure(size: int, requests: int,
+                  profile: str | None) -> tuple[dict[str, list[float]], Counter[int]]:
+    """CPU us a request of each process under test, by turn, and the sidecars' statuses."""
     nodes = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "benchmarks.sidecar", "--nodes", str(size), cwd=ROOT,
         stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=1 << 20)
@@ -96,7 +99,9 @@
                   "known": roster.known(), "settings": settings(plan, 0)}
         module = ["-m", "cProfile", "-o", profile, "-m"] if profile else ["-m"]
         under_test = [Process("passthrough", config, folder, ["-m", "benchmarks.passthrough", "CONFIG"]),
-                      Process("sidecar", config, folder, ["-B", *module, "wickspread.sidecar"])]
+                      Process("compiled", config, folder, ["-B", *module, "wickspread.sidecar"]),
+                      Process("sources", config, folder, ["-B", "-m", "wickspread.sidecar"])]
+        under_test[2].env = {"WICKSPREAD_PURE": "1"}
         costs: dict[str, list[float]] = {one.name: [] for one in under_test}
         statuses: Counter[int] = Counter()
         for one in under_test:
@@ -109,25 +114,27 @@
                 number += requests
                 if turn > 0:  # the first round opens connections
                     costs[one.name].append((one.usage()[0] - before) / requests * 1e6)
-                    if one.name == "sidecar":
+                    if one.name != "passthrough":
                         statuses += found
         for one in under_test:
             await one.stop()
     roster.close()
     nodes.stdin.close()
     await nodes.wait()
-    return statistics.median(costs["passthrough"]), statistics.median(costs["sidecar"]), statuses
+    return costs, statuses
 
 
 async def main(arguments: argparse.Namespace) -> None:
-    print(f"{'upstreams':>10} {'pass-through us':>16} {'sidecar us':>11} {'times':>6} "
-          f"{'against first':>14}  statuses")
-    first = 0.0
+    print(f"this Python runs wickspread {compiled.state}")
+    print(f"{'upstreams':>10} {'pass-through us':>16} {'sources us':>11} {'times':>6} "
+          f"{'compiled us':>12} {'times':>6}  statuses")
     for size in map(int, arguments.sizes.split(",")):
-        bare, whole, statuses = await measure(size, arguments.requests, arguments.profile)
-        first = first or whole / bare
-        print(f"{size:>10} {bare:>16.0f} {whole:>11.0f} {whole / bare:>6.1f} {whole / bare / first:>14.2f}  "
-              f"{dict(statuses)}", flush=True)
+        costs, statuses = await measure(size, arguments.requests, arguments.profile)
+        bare, cells = costs["passthrough"], []
+        for name, width in (("sources", 11), ("compiled", 12)):
+            times = statistics.median(one / base for one, base in zip(costs[name], bare, strict=True))
+            cells.append(f"{statistics.median(costs[name]):>{width}.0f} {times:>6.1f}")
+        print(f"{size:>10} {statistics.median(bare):>16.0f} {' '.join(cells)}  {dict(statuses)}", flush=True)
 
 
 if __name__ == "__main__":
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -79,7 +79,7 @@
 
 
 def test_build_brings_an_older_venv_up_to_date_and_then_leaves_it_alone(tmp_path: Path) -> None:
-    for name in ("pyproject.toml", "deploy/build.py"):
+    for name in ("pyproject.toml", "deploy/build.py", "deploy/compiled.py"):
         (tmp_path / name).parent.mkdir(exist_ok=True)
         shutil.copy(ROOT / name, tmp_path / name)
     old = [sys.executable, "-m", "venv", "--without-pip", ".venv"]  # as the build before this one made it
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import itertools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 from wickspread.grpc import health
 from wickspread.grpc.metadata import Headers, Reader, Rejected, acceptable, value_of
@@ -99,7 +99,7 @@
             return
         self.data += data
         if not PREFACE.startswith(self.data[:len(PREFACE)]):
-            transport.set_protocol(self.plain)
+            transport.set_protocol(cast(asyncio.Protocol, self.plain))
             self.plain.data_received(self.data)
         elif len(self.data) >= len(PREFACE):
             connection = GrpcConnection(self.front)
--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -94,6 +94,7 @@
         self.config = config
         self.path = Path(folder) / f"{name}.json"
         self.operator = operator  # the text of its operator file
+        self.env: dict[str, str] = {}  # beside what is inherited
         self.command = ["-B", "-m", "wickspread.sidecar"]
         self.lines: deque[str] = deque(maxlen=500)
         self.address = ("", 0)
@@ -109,7 +110,7 @@
             path.write_text(self.operator)
             env["WICKSPREAD_OPERATOR"] = str(path)
         env |= {"PROXY_NAME": self.name, "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(self.path),
-                "PROXY_DISCOVERY": self.config["discovery"]}
+                "PROXY_DISCOVERY": self.config["discovery"]} | self.env
         # a session of its own: Ctrl-C is ours to pass on, once what is out has been answered
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *self.command, cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
--- a/wickspread/lab/show.py
+++ b/wickspread/lab/show.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import TextIO
 
+from wickspread import compiled
 from wickspread.lab import script
 from wickspread.lab.capacity import Machine
 from wickspread.lab.checker import Breach, Row, table
@@ -77,7 +78,7 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stop.set)
     print(f"{plan.nodes} nodes, {plan.sidecars} sidecar(s), {plan.rate:.0f} requests/s for "
-          f"{plan.seconds:.0f} s, seed {plan.seed}", file=out, flush=True)
+          f"{plan.seconds:.0f} s, seed {plan.seed}; runs {compiled.state}", file=out, flush=True)
     async with Scene(plan) as scene:
         tasks = [loop.create_task(scene.play()), loop.create_task(stop.wait())]
         watcher = loop.create_task(watch(scene, out))
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from wickspread import compiled
 from wickspread import interface as api
 from wickspread.operations.door import Door
 from wickspread.operations.hand import Hand
@@ -73,6 +74,7 @@
                 f"membership.etcd: needs the `etcd` extra; no {error.name}") from error
         await sources.start()
         discovery.sink = sources.feed
+    log.info("runs %s", compiled.state)
     discovery.sink.list_changed(api.ListKind.CACHED, known, version)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/wickspread/sidecar/client.py
+++ b/wickspread/sidecar/client.py
@@ -79,7 +79,11 @@
             self.connection.server.engine.gone(self.request)
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection:
+    """An asyncio.Protocol in all but its bases: with one that is not compiled, each attribute would be looked
+    up in a dictionary."""
+
+    __deletable__ = ("parser",)
     idle_s = 4.0  # between requests, at most
 
     def __init__(self, server: Server) -> None:
@@ -146,6 +150,9 @@
         if not self.deaf and not self.pending:
             self.server.rests(self)
 
+    def eof_received(self) -> None:
+        """The client has sent all that it will: asyncio closes the connection."""
+
     def pause_writing(self) -> None:
         self.choked = True
 
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import socket
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, cast
 
 from wickspread.sidecar.admission import Admission
 from wickspread.sidecar.bodies import Spool, Upload
@@ -182,7 +182,7 @@
         try:
             client.setblocking(False)
             first = connection if self.front is None else self.front.first(connection)
-            await self.loop.connect_accepted_socket(lambda: first, client)
+            await self.loop.connect_accepted_socket(lambda: cast(asyncio.Protocol, first), client)
         except OSError:
             client.close()
             self.lost(connection)
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -146,8 +146,9 @@
             shared.retire()
 
 
-class Connection(asyncio.Protocol):
-    """A connection carries one exchange at a time and is pooled in between."""
+class Connection:
+    """A connection carries one exchange at a time and is pooled in between. An asyncio.Protocol in all but
+    its bases: with one that is not compiled, each attribute would be looked up in a dictionary."""
 
     def __init__(self, pool: Pool, host: Host) -> None:
         self.pool = pool
@@ -232,6 +233,12 @@
         if exchange.wrote is not None:
             exchange.wrote()
 
+    def eof_received(self) -> None:
+        """The upstream has sent all that it will: asyncio closes the connection."""
+
+    def pause_writing(self) -> None:
+        """The kernel has not all that was written; resume_writing() follows."""
+
     def resume_writing(self) -> None:
         """The kernel has all that was written."""
         self.feed()
@@ -526,7 +533,7 @@
         connection = Connection(self, host)
         try:
             async with asyncio.timeout(self.connect_s):
-                await self.loop.create_connection(lambda: connection, *host.dial)
+                await self.loop.create_connection(lambda: cast(asyncio.Protocol, connection), *host.dial)
         except (OSError, TimeoutError, ValueError) as error:  # ValueError: a name that is none
             if connection.transport is None:
                 self.closed(host)
