--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -90,13 +90,13 @@
 
 def test_an_answer_that_cannot_be_written_takes_no_slot_with_it() -> None:
     async def test() -> None:
-        class Connections(Pool):
+        class Connections:
             def start(self, upstream: int, exchange: Exchange, timeout_s: float) -> None:
-                self.loop.call_soon(exchange.finish, api.Outcome.OK, Answer(200, b"", b"ok", b""))
+                engine.loop.call_soon(exchange.finish, api.Outcome.OK, Answer(200, b"", b"ok", b""))
 
         engine, decisions = engine_of(
             lambda event: [api.Send(1, 7)] if isinstance(event, api.RequestArrived) else [])
-        engine.pool = Connections(connect_s=0.2, idle_s=5.0, most=8)
+        engine.pool = cast(Any, Connections())
 
         def reply(status: int, head: bytes, body: bytes) -> None:
             raise RuntimeError("a fault")
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, Protocol, cast
 
 from wickspread import interface as api
 from wickspread.grpc.message import first_size
@@ -421,7 +421,7 @@
 
     def __init__(self, engine: Engine, idle_s: float, ping_s: float, most_held: int) -> None:
         self.engine = engine
-        self.pool: Pool = engine.pool
+        self.pool = cast(Pool, engine.pool)
         self.loop = engine.loop
         self.idle_s = idle_s
         self.ping_s = ping_s
--- a/wickspread/sidecar/client.py
+++ b/wickspread/sidecar/client.py
@@ -12,7 +12,7 @@
 import httptools
 
 from wickspread.sidecar.bodies import KEEP, MOST_BODY, Flow, Source, Upload
-from wickspread.sidecar.outflow import Outflow
+from wickspread.sidecar.outflow import InLine, Outflow
 from wickspread.sidecar.request import Rejected
 from wickspread.sidecar.upstream import MAX_HEAD, input_poll
 
@@ -351,7 +351,7 @@
                     self.since = self.server.loop.time()
                 self.server.rests(self)
 
-    def cut(self, one: Pending) -> None:
+    def cut(self, one: InLine) -> None:
         """Its answer can't be finished."""
         if self.transport is not None:
             self.transport.abort()
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -18,9 +18,10 @@
 from wickspread import interface as api
 from wickspread import wire
 from wickspread.balance import Balancer
+from wickspread.fleet import Server
 from wickspread.operations.figures import Figures
 from wickspread.sidecar.bodies import KEEP, Flow, Opens, Source, Upload
-from wickspread.sidecar.upstream import Answer, Exchange, Host, Pool
+from wickspread.sidecar.upstream import Answer, Exchange, Host
 
 log = logging.getLogger("wickspread")
 
@@ -97,15 +98,42 @@
     def fetch(self) -> None: ...
 
 
+class Decisions(Protocol):
+    """What of the decision module is called here, and nowhere else."""
+
+    entries: dict[int, api.Upstream]  # the list
+    servers: dict[int, Server]  # those in use
+
+    def handle(self, now_us: int, event: api.Event) -> list[api.Action]: ...
+
+    def avoided(self) -> int: ...
+
+    def learnt(self) -> api.Learnt: ...
+
+
+class Nodes(Protocol):
+    """The upstreams' side: carries attempts and probes."""
+
+    hosts: dict[int, Host]
+
+    def update(self, hosts: list[Host], whole: bool) -> None: ...
+
+    def start(self, upstream: int, exchange: Exchange, timeout_s: float) -> None: ...
+
+    def close_idle(self, upstream: int) -> None: ...
+
+    def shrink(self, half: bool) -> None: ...
+
+
 class Engine:
-    def __init__(self, settings: api.Settings, seed: int, clock: Clock, pool: Pool,
+    def __init__(self, settings: api.Settings, seed: int, clock: Clock, pool: Nodes,
                  discovery: Discovery) -> None:
         self.settings = settings
         self.clock = clock
         self.pool = pool
         self.discovery = discovery
         self.loop = asyncio.get_running_loop()
-        self.balancer = Balancer(settings, seed, clock.now_us())
+        self.balancer: Decisions = Balancer(settings, seed, clock.now_us())
         self.requests: dict[int, Entry] = {}
         self.next_request = 1
         self.events: deque[api.Event] = deque()
--- a/wickspread/sidecar/outflow.py
+++ b/wickspread/sidecar/outflow.py
@@ -4,18 +4,39 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from wickspread.sidecar.bodies import Source
 
-if TYPE_CHECKING:
-    from wickspread.sidecar.client import Pending
+
+class Line(Protocol):
+    """The client's connection."""
+
+    choked: bool  # the client does not read what it is given
+
+    def flush(self) -> None: ...
+
+    def cut(self, one: InLine) -> None: ...
+
+
+class InLine(Protocol):
+    """The request on it that the answer is for."""
+
+    old: bool  # it speaks HTTP/1.0
+    flow: Outflow | None
+
+    @property
+    def connection(self) -> Line: ...
+
+    def reply(self, status: int) -> None: ...
+
+    def answered(self) -> None: ...
 
 
 class Outflow:
     """Begins when its request is the first in line on its connection; till then its source waits."""
 
-    def __init__(self, pending: Pending, head: bytes, length: int | None, source: Source,
+    def __init__(self, pending: InLine, head: bytes, length: int | None, source: Source,
                  ended: Callable[[bool | None], None]) -> None:
         self.pending = pending
         self.head = head
