--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -21,6 +21,7 @@
 from wickspread.fleet import Server
 from wickspread.operations.figures import Figures
 from wickspread.sidecar.bodies import KEEP, Flow, Opens, Source, Upload
+from wickspread.sidecar.timers import Timer, Timers
 from wickspread.sidecar.upstream import Answer, Exchange, Host
 
 log = logging.getLogger("wickspread")
@@ -83,7 +84,7 @@
 
     call: Call
     reply: Callable[[int, bytes, bytes], None]  # where its one answer goes: status, headers, body
-    guard: asyncio.TimerHandle | None = None
+    guard: Timer | None = None
     answered: bool = False
     attempts: list[Attempt | None] = field(default_factory=list)  # None = never started, or ended
     out: int = 0
@@ -133,6 +134,7 @@
         self.pool = pool
         self.discovery = discovery
         self.loop = asyncio.get_running_loop()
+        self.timers = Timers(self.loop)
         self.balancer: Decisions = Balancer(settings, seed, clock.now_us())
         self.requests: dict[int, Entry] = {}
         self.next_request = 1
@@ -267,10 +269,10 @@
             case api.TellPeer():
                 raise ValueError("messages to other sidecars are not carried")
 
-    def later(self, at_us: int, call: Callable[..., None], *arguments: object) -> asyncio.TimerHandle:
+    def later(self, at_us: int, call: Callable[..., None], *arguments: object) -> Timer:
         """Call at a time of our clock, within what the loop's timers of whole milliseconds can do."""
         wait_us = max(0, at_us - self.clock.now_us())
-        return self.loop.call_later(wait_us / 1e6 + 0.001, call, *arguments)
+        return self.timers.later(wait_us / 1e6 + 0.001, call, *arguments)
 
     def fire(self, timer: api.SetTimer, set_already: bool = False) -> None:
         """Hazard: the loop's clock is not ours and may be ahead; the module passes over a timer that is
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -16,6 +16,7 @@
 from wickspread import interface as api
 from wickspread.sidecar.bodies import KEEP, MOST_BODY, Flow, Source, Upload
 from wickspread.sidecar.config import Address
+from wickspread.sidecar.timers import Timer, Timers
 
 log = logging.getLogger("wickspread")
 
@@ -73,7 +74,7 @@
         self.opens = opens
         self.upload = upload  # the body, where it is passed on as it comes
         self.timeout_s = 0.0  # from when the kernel has the whole request
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: Timer | None = None
         self.connection: Connection | None = None
         self.done = False
 
@@ -95,7 +96,7 @@
             now = connection.loop.time()
             waits = connection.transport is not None and not connection.transport.get_write_buffer_size()
             if waits or now - connection.moved < STALL_S:  # it waits for the client: the front's matter
-                self.timer = connection.loop.call_later(self.timeout_s, self.expire)
+                self.timer = connection.pool.timers.later(self.timeout_s, self.expire)
                 return
         if connection is None or not connection.written:
             self.finish(api.Outcome.CONNECT_FAILED)
@@ -229,7 +230,7 @@
         self.written = True
         if upload is not None and exchange.timer is not None:
             exchange.timer.cancel()
-            exchange.timer = self.loop.call_later(exchange.timeout_s, exchange.expire)
+            exchange.timer = self.pool.timers.later(exchange.timeout_s, exchange.expire)
         if exchange.wrote is not None:
             exchange.wrote()
 
@@ -473,6 +474,7 @@
         self.dials: set[asyncio.Task[None]] = set()
         self.spare: Callable[[], bool] = bool  # closes a shared connection that is idle; False: there is none
         self.next_complaint = 0.0
+        self.timers = Timers(self.loop)
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
 
     def update(self, hosts: list[Host], whole: bool) -> None:
@@ -512,7 +514,7 @@
             exchange.finish(api.Outcome.NOT_SENT)
             return
         exchange.timeout_s = timeout_s
-        exchange.timer = self.loop.call_later(timeout_s, exchange.expire)
+        exchange.timer = self.timers.later(timeout_s, exchange.expire)
         while host.idle:
             connection = next(reversed(host.idle))
             if connection.usable():
@@ -585,6 +587,7 @@
             log.warning("%s", text)
 
     def close(self) -> None:
+        self.timers.close()
         self.sweep_timer.cancel()
         for task in self.dials:
             task.cancel()
