Compiled, a request leaves nothing to the cycle collector

An attempt is an object with methods, sorts and searches have no closures, the loop's factories are partials. Headers go on by one join.

--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Iterable
 from dataclasses import replace
+from functools import partial
 
 from wickspread import interface as api
 from wickspread.fleet import FEW, MOST_SLOTS, Fleet, Server, Slots
@@ -194,8 +195,8 @@
         few = [s for s in request.asking if self.open_slots(s) > 0 and self.in_group(request, s)]
         self.stop_asking(request)
         told = [s for s in few if self.now_us - s.told_us <= self.fresh_us]  # old news refuses nothing
-        one = min(told or few, default=None,
-                  key=lambda s: self.crowd(s) + few.index(s) * self.settings.warm_keys)
+        costs = [(self.crowd(s) + few.index(s) * self.settings.warm_keys, few.index(s)) for s in told or few]
+        one = few[min(costs)[1]] if costs else None
         if one is None or not self.may_send(request):
             self.place(request)
         elif (told and one.crowd
@@ -360,7 +361,8 @@
             # hazard: a subset holds few of a cell; with those alone the work would fail for want of a place
             group = [self.servers.get(ident) or self.new_server(self.entries[ident])
                      for ident in self.cells.get(first.entry.cell, ())]
-        return sorted(group, key=lambda server: (self.fleet.key(server), server.entry.id))
+        found = {server.entry.id: server for server in group}
+        return [found[ident] for _, ident in sorted([(self.fleet.key(s), s.entry.id) for s in group])]
 
     def order(self, request: Request) -> list[Server] | None:
         """This sidecar's own, told by None; where upstreams remember keys, the key's own, alike in all
@@ -370,11 +372,12 @@
         if key == 0 or self.shut > 0.2:
             return None
 
-        def far(server: Server) -> float:  # by chance, the same for all; large and near ones come sooner
-            chance = (((key ^ server.entry.id * MIXER) * MIXER >> 24) % 2**40 + 1) / 2**40
-            return -float(chance ** (1.0 / (server.size * (4 if server.entry.zone == self.home else 1))))
+        return sorted(self.fleet.warm.items(), key=partial(self.far, key))
 
-        return sorted(self.fleet.warm.items(), key=far)
+    def far(self, key: int, server: Server) -> float:
+        """By chance, the same for all; large and near ones come sooner."""
+        chance = (((key ^ server.entry.id * MIXER) * MIXER >> 24) % 2**40 + 1) / 2**40
+        return -float(chance ** (1.0 / (server.size * (4 if server.entry.zone == self.home else 1))))
 
     def cold_turn(self, request: Request, warm: Server | None, group: list[Server] | None) -> Server | None:
         """Rule 4: of the sends that warm ones have room for (none warm: of arrivals) a cold one gets its
--- a/wickspread/sidecar/admission.py
+++ b/wickspread/sidecar/admission.py
@@ -17,7 +17,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from itertools import takewhile
 from typing import Generic, TypeVar
 
 YOUNG_S = 0.05  # a connection's first request follows its accept; the loop may be busy meanwhile
@@ -83,4 +82,7 @@
 
 
 def older(group: dict[K, float], than_s: float) -> Iterator[K]:
-    return takewhile(lambda one: group[one] <= than_s, group)
+    for one, since_s in group.items():
+        if since_s > than_s:
+            return
+        yield one
--- a/wickspread/sidecar/client.py
+++ b/wickspread/sidecar/client.py
@@ -68,11 +68,17 @@
             self.keep = self.keep and self.upload.whole
             self.upload.drop()
 
+    def release(self) -> None:
+        """Its large answer has ended, and holds it as it holds that."""
+        if self.flow is not None:
+            self.answer, self.flow = (0, b"", b""), None
+
     def leave(self) -> None:
         """Its client is gone."""
         if self.flow is not None:
             self.flow.abandon()
             self.answered()
+            self.release()
         elif self.answer is None:
             self.answer = 0, b"", b""
             self.answered()
@@ -341,6 +347,7 @@
             else:
                 break
             self.pending.popleft()
+            one.release()
             if not keep:
                 self.end(transport)
         if not self.pending:
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -99,6 +99,11 @@
     def fetch(self) -> None: ...
 
 
+def just(head: bytes) -> list[bytes]:
+    """A request of one part, whenever it is asked for."""
+    return [head]
+
+
 class Decisions(Protocol):
     """What of the decision module is called here, and nowhere else."""
 
@@ -290,96 +295,39 @@
         if entry is None:  # the module never names a request that it was not given
             self.tell(api.AttemptEnded(ident, 0, action.upstream, api.Outcome.NOT_SENT, 0, True))
             return
-        attempt, call = len(entry.attempts), entry.call
+        call, attempt = entry.call, len(entry.attempts)
         entry.attempts.append(None)
         entry.out += 1
-
-        def left_us() -> int:
-            """Asked for just before the first byte: by then the request may be over, or its time."""
-            return 0 if entry.answered else max(0, call.due_us - self.clock.now_us())
-
-        def render() -> list[bytes] | None:
-            left = left_us()
-            if left <= 0:
-                return None
-            body = call.body if len(call.body) <= KEEP else b""
-            head = b"%sReq-Deadline: %d.%06d\r\n\r\n%s" % (call.head, *divmod(left, 1_000_000), body)
-            return [head] if len(body) == len(call.body) else [head, call.body]
-
-        def wrote() -> None:
-            nonlocal now_us
-            self.figures.upstream_requests += 1
-            if call.upload is not None:
-                now_us = self.clock.now_us()  # what the client takes to send it says nothing of the upstream
-
-        def opens(head: bytes, length: int | None, load: bytes, source: Source) -> Flow | None:
-            entry.attempts[attempt] = None
-            entry.out -= 1
-            flow = None
-            if not entry.answered and call.opens is not None:
-                entry.answered = True
-                if entry.guard is not None:
-                    entry.guard.cancel()
-                flow = call.opens(head, length, source, partial(self.streamed, call.class_index))
-            if entry.answered and entry.out == 0:
-                self.requests.pop(ident, None)
-            self.tell(api.AttemptEnded(ident, attempt, action.upstream, api.Outcome.OK,
-                                       self.clock.now_us() - now_us, entry.answered,
-                                       self.report(load) if load else []))
-            return flow
-
-        def began() -> None:
-            self.tell(api.StreamStarted(ident, attempt, action.upstream, self.clock.now_us() - now_us))
-
-        def ended(outcome: api.Outcome, answer: Answer | None) -> None:
-            entry.attempts[attempt] = None
-            entry.out -= 1
-            if call.carrier is not None and outcome not in NEVER_WRITTEN:
-                self.figures.upstream_requests += 1
-            if outcome is api.Outcome.OK and answer is not None:
-                self.answer(ident, 200, answer.head, answer.body)
-            elif answer is not None and 400 <= answer.status < 500 and answer.status not in (408, 425, 429):
-                # hazard: bad requests that only an upstream can tell from good ones would make it look ill
-                self.answer(ident, answer.status)
-                outcome = api.Outcome.NOT_SENT
-            elif answer is not None and answer.last:
-                self.answer(ident, 502)
-            if entry.answered and entry.out == 0:
-                self.requests.pop(ident, None)
-            report = self.report(answer.load) if answer is not None and answer.load else []
-            self.tell(api.AttemptEnded(ident, attempt, action.upstream, outcome,
-                                       self.clock.now_us() - now_us, entry.answered, report))
-
+        out = Out(self, entry, ident, attempt, action.upstream, now_us)
         most_us = call.due_us - now_us if call.upload is None else call.after_us
         timeout_us = min(action.timeout_us or most_us, most_us)
         if entry.answered or timeout_us <= 0 or attempt >= self.settings.max_attempts or (
                 entry.out > 1 and not self.settings.second_copies) or (
                 call.upload is not None and call.upload.taken):
-            ended(api.Outcome.NOT_SENT, None)
+            out.ended(api.Outcome.NOT_SENT, None)
             return
         if call.carrier is not None:
-            carried = entry.attempts[attempt] = call.carrier.attempt(left_us, ended, began)
+            carried = entry.attempts[attempt] = call.carrier.attempt(out.left_us, out.ended, out.began)
             carried.start(action.upstream, timeout_us / 1e6)
             return
         exchange = entry.attempts[attempt] = Exchange(
-            render, ended, wrote, opens if call.opens is not None else None, call.upload)
+            out.render, out.ended, out.wrote, out.opens if call.opens is not None else None, call.upload)
         self.pool.start(action.upstream, exchange, timeout_us / 1e6)
 
     def probe(self, upstream: int) -> None:
-        now_us = self.clock.now_us()
-
-        def ended(outcome: api.Outcome, answer: Answer | None) -> None:
-            if answer is not None and answer.status == 200:
-                outcome = api.Outcome.OK
-            load = answer.body if answer is not None and outcome is api.Outcome.OK else b""
-            self.tell(api.ProbeEnded(upstream, outcome, self.clock.now_us() - now_us, self.report(load)))
-
+        ended = partial(self.probed, upstream, self.clock.now_us())
         if self.probes is not None:
             self.probes(upstream, ended, self.settings.probe_timeout_us / 1e6)
             return
         path = b"/status/load" if self.settings.report_names else b"/health"
         head = b"GET %s HTTP/1.1\r\nHost: backend.local\r\n\r\n" % path
-        self.pool.start(upstream, Exchange(lambda: [head], ended), self.settings.probe_timeout_us / 1e6)
+        self.pool.start(upstream, Exchange(partial(just, head), ended), self.settings.probe_timeout_us / 1e6)
+
+    def probed(self, upstream: int, since_us: int, outcome: api.Outcome, answer: Answer | None) -> None:
+        if answer is not None and answer.status == 200:
+            outcome = api.Outcome.OK
+        load = answer.body if answer is not None and outcome is api.Outcome.OK else b""
+        self.tell(api.ProbeEnded(upstream, outcome, self.clock.now_us() - since_us, self.report(load)))
 
     def report(self, text: bytes) -> list[float]:
         return wire.parse_report(text, self.settings.report_names)
@@ -409,3 +357,76 @@
             entry.guard.cancel()
         if entry.out == 0:
             del self.requests[ident]
+
+
+class Out:
+    """One attempt that is out, and what its end means for its request."""
+
+    __slots__ = ("engine", "entry", "ident", "attempt", "upstream", "sent_us")
+
+    def __init__(self, engine: Engine, entry: Entry, ident: int, attempt: int, upstream: int,
+                 now_us: int) -> None:
+        self.engine = engine
+        self.entry = entry
+        self.ident = ident  # of its request
+        self.attempt = attempt  # its number
+        self.upstream = upstream
+        self.sent_us = now_us
+
+    def left_us(self) -> int:
+        """Asked for just before the first byte: by then the request may be over, or its time."""
+        return 0 if self.entry.answered else max(0, self.entry.call.due_us - self.engine.clock.now_us())
+
+    def render(self) -> list[bytes] | None:
+        call, left_us = self.entry.call, self.left_us()
+        if left_us <= 0:
+            return None
+        body = call.body if len(call.body) <= KEEP else b""
+        head = b"%sReq-Deadline: %d.%06d\r\n\r\n%s" % (call.head, *divmod(left_us, 1_000_000), body)
+        return [head] if len(body) == len(call.body) else [head, call.body]
+
+    def wrote(self) -> None:
+        self.engine.figures.upstream_requests += 1
+        if self.entry.call.upload is not None:
+            # what the client takes to send it says nothing of the upstream
+            self.sent_us = self.engine.clock.now_us()
+
+    def opens(self, head: bytes, length: int | None, load: bytes, source: Source) -> Flow | None:
+        engine, entry, call, flow = self.engine, self.entry, self.entry.call, None
+        entry.attempts[self.attempt] = None
+        entry.out -= 1
+        if not entry.answered and call.opens is not None:
+            entry.answered = True
+            if entry.guard is not None:
+                entry.guard.cancel()
+            flow = call.opens(head, length, source, partial(engine.streamed, call.class_index))
+        self.tell_end(api.Outcome.OK, load)
+        return flow
+
+    def began(self) -> None:
+        self.engine.tell(api.StreamStarted(self.ident, self.attempt, self.upstream,
+                                           self.engine.clock.now_us() - self.sent_us))
+
+    def ended(self, outcome: api.Outcome, answer: Answer | None) -> None:
+        engine, entry = self.engine, self.entry
+        entry.attempts[self.attempt] = None
+        entry.out -= 1
+        if entry.call.carrier is not None and outcome not in NEVER_WRITTEN:
+            engine.figures.upstream_requests += 1
+        if outcome is api.Outcome.OK and answer is not None:
+            engine.answer(self.ident, 200, answer.head, answer.body)
+        elif answer is not None and 400 <= answer.status < 500 and answer.status not in (408, 425, 429):
+            # hazard: bad requests that only an upstream can tell from good ones would make it look ill
+            engine.answer(self.ident, answer.status)
+            outcome = api.Outcome.NOT_SENT
+        elif answer is not None and answer.last:
+            engine.answer(self.ident, 502)
+        self.tell_end(outcome, answer.load if answer is not None else b"")
+
+    def tell_end(self, outcome: api.Outcome, load: bytes) -> None:
+        engine, entry = self.engine, self.entry
+        if entry.answered and entry.out == 0:
+            engine.requests.pop(self.ident, None)
+        engine.tell(api.AttemptEnded(self.ident, self.attempt, self.upstream, outcome,
+                                     engine.clock.now_us() - self.sent_us, entry.answered,
+                                     engine.report(load) if load else []))
--- a/wickspread/sidecar/request.py
+++ b/wickspread/sidecar/request.py
@@ -65,7 +65,7 @@
                 raise Rejected(400, f"{low.decode()} twice")
             found[low] = value
             if low not in STOPPED:
-                lines.append(b"%s: %s\r\n" % (name, value))
+                lines += (name, b": ", value, b"\r\n")
         if not REQ_ID.match(found.get(b"req-id", b"")):
             raise Rejected(400, "missing or bad Req-Id")
         deadline = found.get(b"req-deadline", b"")
@@ -94,7 +94,7 @@
             upload=upload,
             ident=found[b"req-id"],
             # a Connection header may name others that go no further
-            head=b"%s %s HTTP/1.1\r\n%s%s" % (method, target, end_to_end(headers, DROPPED)
+            head=b"%s %s HTTP/1.1\r\n%s%s" % (method, target, end_to_end(headers, STOPPED)
                                              if b"connection" in found else b"".join(lines), length),
             body=body,
             tenant=tenant,
--- a/wickspread/sidecar/server.py
+++ b/wickspread/sidecar/server.py
@@ -5,7 +5,8 @@
 import asyncio
 import logging
 import socket
-from typing import TYPE_CHECKING, Protocol, cast
+from functools import partial
+from typing import TYPE_CHECKING, Protocol
 
 from wickspread.sidecar.admission import Admission
 from wickspread.sidecar.bodies import Spool, Upload
@@ -13,6 +14,7 @@
 from wickspread.sidecar.config import Address
 from wickspread.sidecar.engine import Engine
 from wickspread.sidecar.request import Reader, Rejected
+from wickspread.sidecar.upstream import itself
 
 if TYPE_CHECKING:
     from wickspread.grpc.front import Front
@@ -182,7 +184,7 @@
         try:
             client.setblocking(False)
             first = connection if self.front is None else self.front.first(connection)
-            await self.loop.connect_accepted_socket(lambda: cast(asyncio.Protocol, first), client)
+            await self.loop.connect_accepted_socket(partial(itself, first), client)
         except OSError:
             client.close()
             self.lost(connection)
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -9,6 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Protocol, cast
 
 import httptools
@@ -30,17 +31,21 @@
 # Headers that speak of one connection only, or that we set ourselves, and so go no further.
 HOP_HEADERS = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer",
                b"transfer-encoding", b"upgrade", b"expect", b"content-length"})
+ANSWER_STOPPED = HOP_HEADERS | {b"srv-load"}  # of an answer: the load is for us
 
 
-def end_to_end(headers: list[tuple[bytes, bytes]], drop: frozenset[bytes] = frozenset()) -> bytes:
-    """The header lines that go on to the next hop."""
+def end_to_end(headers: list[tuple[bytes, bytes]], stopped: frozenset[bytes]) -> bytes:
+    """The header lines that go on to the next hop: without the stopped ones, and those that a Connection
+    header names (RFC 9110, 7.6.1)."""
     lows = [name.lower() for name, _ in headers]
-    stopped = HOP_HEADERS | drop
     if b"connection" in lows:
         stopped = stopped.union(part.strip().lower() for low, (_, value) in zip(lows, headers, strict=True)
                                 if low == b"connection" for part in value.split(b","))
-    return b"".join([b"%s: %s\r\n" % pair for low, pair in zip(lows, headers, strict=True)
-                     if low not in stopped])
+    parts: list[bytes] = []
+    for low, (name, value) in zip(lows, headers, strict=True):
+        if low not in stopped:
+            parts += (name, b": ", value, b"\r\n")
+    return b"".join(parts)
 
 
 @dataclass(slots=True)
@@ -52,6 +57,12 @@
     last: bool = False  # no further attempt can be made
 
 
+def itself(one: object) -> asyncio.Protocol:
+    """For the loop, which wants to make it. Hazard: compiled, a lambda and what it closes over hold one
+    another until the cycle collector comes: a connection, and all that it holds."""
+    return cast(asyncio.Protocol, one)
+
+
 def nothing() -> None:
     """What is to be written for an exchange that has ended."""
 
@@ -287,7 +298,7 @@
             self.close()
             return
         found = {name.lower(): value for name, value in self.headers}
-        head = end_to_end(self.headers, frozenset({b"srv-load"}))
+        head = end_to_end(self.headers, ANSWER_STOPPED)
         exchange.done = True
         if exchange.timer is not None:
             exchange.timer.cancel()
@@ -346,19 +357,20 @@
             return
         self.in_head = False
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)  # it may all come in one read
-        framed = False
+        framed = closes = False
         for name, value in self.headers:
             low = name.lower()
             if low == b"content-length":
                 self.length, framed = int(value), True
             elif low == b"transfer-encoding":
                 framed = True
+            elif low == b"connection":
+                closes = closes or b"close" in value.lower()
         most = MOST_BODY if self.streams() else KEEP
         if size > MAX_HEAD or (self.length or 0) > most:
             raise ValueError("too large")  # hazard: 3 GB would keep coming until the time-out
         # RFC 9112, 6.3: it ends with its connection
-        self.to_end = not framed and any(name.lower() == b"connection" and b"close" in value.lower()
-                                         for name, value in self.headers)
+        self.to_end = closes and not framed
         if (self.length or 0) > KEEP:
             self.open()
 
@@ -397,7 +409,7 @@
             flow.end()
             return
         found = {name.lower(): value for name, value in self.headers}
-        answer = Answer(self.status, end_to_end(self.headers, frozenset({b"srv-load"})), bytes(self.body),
+        answer = Answer(self.status, end_to_end(self.headers, ANSWER_STOPPED), bytes(self.body),
                         found.get(b"srv-load", b""))
         if answer.status == 200:
             outcome = api.Outcome.OK
@@ -535,7 +547,7 @@
         connection = Connection(self, host)
         try:
             async with asyncio.timeout(self.connect_s):
-                await self.loop.create_connection(lambda: cast(asyncio.Protocol, connection), *host.dial)
+                await self.loop.create_connection(partial(itself, connection), *host.dial)
         except (OSError, TimeoutError, ValueError) as error:  # ValueError: a name that is none
             if connection.transport is None:
                 self.closed(host)
