One piece puts a whole file in place; a successor looks for its own only where it serves

Suspensions and what was learnt were each written aside and renamed in; both call put_whole now, which also takes away a part that could not be written. The manifest's name stands in one place.

--- a/deploy/compiled.py
+++ b/deploy/compiled.py
@@ -101,7 +101,7 @@
 def build(root: Path, part: Path, modules: list[str], compiler: str) -> None:
     """Fill the folder `part`. Raises Failed."""
     cc, suffix = compiler_command(), sysconfig.get_config_var("EXT_SUFFIX")
-    flags = [*shlex.split(sysconfig.get_config_var("CFLAGS") or ""), OPTIMIZE, "-g0", "-fPIC", "-w",
+    flags = [*shlex.split(sysconfig.get_config_var("CFLAGS") or ""), "-g0", "-fPIC", "-w",
              f"-I{sysconfig.get_paths()['include']}"]
     link = shlex.split(sysconfig.get_config_var("LDSHARED") or "cc -shared")[1:]
     with tempfile.TemporaryDirectory() as work, ThreadPoolExecutor(os.cpu_count() or 1) as workers:
@@ -124,7 +124,7 @@
             run([*cc, *link, *one.objects, "-o", str(part / name)], one.name)
             files[one.name] = name, (part / name).stat().st_size
     manifest = {"modules": modules, "compiler": compiler, "files": files}
-    (part / "manifest.json").write_text(json.dumps(manifest))
+    (part / loader(root).MANIFEST).write_text(json.dumps(manifest))
 
 
 def make(root: Path, out: Path | None = None, only_look: bool = False) -> str:
--- a/wickspread/operations/hand.py
+++ b/wickspread/operations/hand.py
@@ -119,8 +119,9 @@
 
     def share(self) -> None:
         """While there are two processes of this sidecar, each keeps to half of what both may hold."""
-        succeeded = self.handover.succeeded()
-        alone = self.handover.alone() and not succeeded
+        first = self.handover.alone()
+        succeeded = first and self.handover.succeeded()
+        alone = first and not succeeded
         self.server.shrink(not alone)
         self.engine.pool.shrink(not alone)
         if succeeded and self.serving:
--- a/wickspread/operations/handover.py
+++ b/wickspread/operations/handover.py
@@ -25,6 +25,18 @@
 PART = ".part"
 
 
+def put_whole(path: Path, data: bytes) -> None:
+    """By a rename: whoever reads finds this or what was there before, whole. Raises OSError."""
+    part = path.with_name(f"{path.name}.{os.getpid()}{PART}")
+    try:
+        part.write_bytes(data)
+        part.replace(path)
+    except OSError:
+        with contextlib.suppress(OSError):
+            part.unlink(missing_ok=True)
+        raise
+
+
 class Handover:
     """The folder; with none (no $TMPDIR, or it can't be written) nothing outlives the process."""
 
@@ -104,14 +116,10 @@
         """Put it where the next process finds it; one whole file or the one before. False if it can't be."""
         if self.folder is None:
             return False
-        part = self.folder / f"{REMEMBERED}.{os.getpid()}{PART}"
         try:
-            part.write_bytes(data)
-            part.replace(self.folder / REMEMBERED)
+            put_whole(self.folder / REMEMBERED, data)
         except OSError as error:
             log.warning("what was learnt can't be left for a next process: %s", error)
-            with contextlib.suppress(OSError):
-                part.unlink(missing_ok=True)
             return False
         return True
 
@@ -143,11 +151,9 @@
             return False
         data = name.encode()
         path = self.folder / "suspended" / hashlib.blake2b(data, digest_size=16).hexdigest()
-        part = path.with_name(f"{path.name}.{os.getpid()}{PART}")
         try:
             if there:
-                part.write_bytes(data)
-                part.replace(path)
+                put_whole(path, data)
             else:
                 path.unlink(missing_ok=True)
         except OSError as error:
