The stand-in that answers and closes does both in one segment: a test's verdict was chance

Its stand-in wrote the answer and closed the connection a thread's turn later; a request that came between the two was written to a connection that still looked open. That loss is the protocol's (RFC 9112, 9.3.1), not the sidecar's. Change: the stand-in corks the socket, so that the answer and the FIN leave in one segment, as the test's name says. Ruled out: the sidecar's look for a close that waits unread, which the same test covers when the close is in time.

--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -24,6 +24,16 @@
     return script
 
 
+def close_in_one_go(data: bytes) -> Script:
+    """The answer and the end of the connection in one segment: no request fits in between."""
+    def script(request: Message, client: socket.socket) -> None:
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+        client.sendall(data)
+        client.shutdown(socket.SHUT_WR)
+
+    return script
+
+
 def reset(request: Message, client: socket.socket) -> None:
     client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     client.close()
@@ -186,7 +196,7 @@
     """An unsafe request written to a closed connection is lost: its reset says that it may have run."""
     with Upstream() as upstream, Sidecar([upstream]) as sidecar:
         if end != "quietly":
-            upstream.script = then_close(answer(b"ok"))
+            upstream.script = close_in_one_go(answer(b"ok"))
         for number in range(5):
             assert sidecar.request("POST", "/pay/7", b"x").status == 200
             if end == "quietly":
