--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -262,12 +262,17 @@
         self.process = subprocess.Popen(["/bin/sh", "-c", self.before + self.command], cwd=ROOT, env=env,
                                         stderr=subprocess.PIPE, text=True, pass_fds=held)
         threading.Thread(target=self.read_log, daemon=True).start()
-        line = eventually(lambda: [line for line in self.lines if " listens on " in line])[0]
+        eventually(lambda: self.listening() or self.process.poll() is not None)
+        assert self.listening(), f"it has ended: {self.lines}"
+        line = self.listening()[0]
         host, _, port = line.split()[-1].partition(":")
         self.address = (host, int(port))
         assert self.request("GET", "/ready").status == 200
         return self
 
+    def listening(self) -> list[str]:
+        return [line for line in self.lines if " listens on " in line]
+
     def read_log(self) -> None:
         assert self.process.stderr is not None
         for line in self.process.stderr:
