A gRPC call leaves nothing to the cycle collector

Cause: a call keeps the attempt whose answer is its own, and the attempt the call; with both stay the request, the answer and the engine's entry, until a collector comes that seldom runs here. Change: a call that is over lets go of its attempts.

--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import gc
+from collections.abc import Awaitable, Callable
 
 import uvloop
 
+from tests.grpc.rig import Node, Rig, run
 from tests.sockets import Client, Message, Upstream, answer
 from tests.test_engine import NoDiscovery
 from tests.world import settings
@@ -36,6 +38,25 @@
     return found
 
 
+async def leaves(play: Callable[[], Awaitable[None]]) -> list[object]:
+    """What of ours only the cycle collector would free."""
+    gc.collect()
+    gc.disable()
+    gc.set_debug(gc.DEBUG_SAVEALL)
+    try:
+        await play()
+        gc.collect()
+        return [one for one in gc.garbage if type(one).__module__.startswith("wickspread")]
+    finally:
+        gc.set_debug(0)
+        gc.garbage.clear()
+        gc.enable()
+
+
+def names(left: list[object]) -> list[str]:
+    return sorted({type(one).__name__ for one in left})
+
+
 def test_a_request_leaves_nothing_to_the_cycle_collector() -> None:
     def script(request: Message, _: object) -> bytes:
         if request.start.split()[1] == "/pay/err":
@@ -49,20 +70,15 @@
         host, _, port = upstream.address.partition(":")
         engine.list_changed(api.ListKind.FULL, [Host(api.Upstream(7), (host, int(port)))], 1)
         address = server.listen(("127.0.0.1", 0))
-        await asyncio.to_thread(ask, address)  # what is made once is there
-        gc.collect()
-        gc.disable()
-        gc.set_debug(gc.DEBUG_SAVEALL)
-        try:
-            found = await asyncio.to_thread(ask, address)
+        found: list[int] = []
+
+        async def play() -> None:
+            found.extend(await asyncio.to_thread(ask, address))
             while server.connections or pool.open > len(pool.hosts[7].idle):
                 await asyncio.sleep(0.01)
-            gc.collect()
-            left = [one for one in gc.garbage if type(one).__module__.startswith("wickspread")]
-        finally:
-            gc.set_debug(0)
-            gc.garbage.clear()
-            gc.enable()
+
+        await asyncio.to_thread(ask, address)  # what is made once is there
+        left = await leaves(play)
         pool.close()
         await server.stop()
         return found, left
@@ -70,5 +86,33 @@
     with Upstream(script=script) as upstream:
         found, left = uvloop.run(asyncio.wait_for(test(upstream), 60.0))
     assert found.count(200) >= ROUNDS
-    kinds = sorted({type(one).__name__ for one in left})
-    assert len(left) < ROUNDS, f"{len(left)} objects for {len(found)} requests: {kinds}"
+    assert len(left) < ROUNDS, f"{len(left)} objects for {len(found)} requests: {names(left)}"
+
+
+def test_a_call_of_grpc_leaves_nothing_to_the_cycle_collector() -> None:
+    """Answered and failed calls, long ones, and calls that their client resets."""
+    async def test() -> None:
+        def script(node: Node, stream: int) -> None:
+            what = node.request(stream)[b"what"]
+            if what != b"slow":
+                node.serve(stream, b"w" * 30_000, b"13" if what == b"bad" else b"0")
+
+        rig = Rig()
+        await rig.node(lambda: Node(script))
+        client = await rig.client()
+
+        async def play() -> None:
+            for _ in range(ROUNDS):
+                for path, what in (("/t.T/Read", "good"), ("/t.T/Pay", "bad"), ("/t.S/Any", "good")):
+                    await client.answer(client.call(path, b"x" * 20_000, what=what))
+                lost = client.call("/t.T/Pay", what="slow")
+                client.http2.reset(lost, 8)
+                client.flush()
+            await client.answer(client.call("/t.T/Read", what="good"))
+
+        await play()
+        left = await leaves(play)
+        rig.close()
+        assert len(left) < ROUNDS, f"{len(left)} objects for {4 * ROUNDS} calls: {names(left)}"
+
+    run(test)
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -129,6 +129,9 @@
             self.client.reset(self.stream, CANCEL)
 
     def release(self) -> None:
+        """Nothing more is done for it. Hazard: an attempt and its call hold one another, and what they hold,
+        until the cycle collector comes."""
+        self.final = self.bound = None
         self.buffer.clear()
         self.nodes.held.change(self, -self.held)
 
