--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -10,7 +10,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from wickspread.lab.capacity import Machine
 from wickspread.lab.checker import Bounds, Breach, Kind, check
@@ -20,6 +20,9 @@
 from wickspread.lab.roster import Roster
 from wickspread.lab.script import Fault, Player
 
+if TYPE_CHECKING:
+    from wickspread.lab.registry import Registry
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 START_S = 20.0
 STOP_S = 6.0
@@ -50,6 +53,7 @@
     loads: tuple[Load, ...] = tuple(LOADS)
     faults: tuple[Fault, ...] = ()
     grpc: float = 0.0  # share of the requests that come by gRPC
+    etcd: int = 0  # members of a stand-in of etcd, in which the nodes are listed too; 0 = none
     keep_nodes: bool = True  # record what nodes see; off for long measurements
 
 
@@ -174,6 +178,7 @@
         self.sidecars: list[SidecarProcess] = []
         self.crowds: list[Crowd] = []
         self.roster: Roster | None = None
+        self.registry: Registry | None = None
         self.player: Player | None = None
         self.folder = tempfile.TemporaryDirectory(prefix="wickspread-lab-")
 
@@ -190,12 +195,13 @@
         for node in self.nodes:
             await node.start()
         self.roster = Roster(self.ledger, [node.entry() for node in self.nodes])
+        operator = self.operator() + await self.listed_in_etcd()
         for index in range(plan.sidecars):
             name = f"sidecar-{index}"
             config = {"discovery": await self.roster.serve(name), "seed": f"{plan.seed * 7919 + index:x}",
                       "limits": {"sockets": plan.sockets}, "known": self.roster.known(),
                       "settings": settings(plan, index)}
-            self.sidecars.append(SidecarProcess(name, config, self.folder.name, self.operator()))
+            self.sidecars.append(SidecarProcess(name, config, self.folder.name, operator))
         await asyncio.gather(*[one.start() for one in self.sidecars])
         for index, one in enumerate(self.sidecars):
             for kind, share in self.protocols():
@@ -203,7 +209,18 @@
                              plan.seed * 31 + index)
                 crowd.rate = plan.rate * share / plan.sidecars
                 self.crowds.append(crowd)
-        self.player = Player(list(plan.faults), self.nodes, self.roster, self.ledger, plan.seed)
+        self.player = Player(list(plan.faults), self.nodes, self.roster, self.ledger, plan.seed,
+                             self.registry)
+
+    async def listed_in_etcd(self) -> str:
+        """etcd's part of the operator file. Imported where there is some."""
+        if not self.plan.etcd:
+            return ""
+        from wickspread.lab.registry import Registry
+
+        self.registry = Registry(self.ledger, self.plan.etcd)
+        self.registry.put(*[node.entry() for node in self.nodes])
+        return await self.registry.serve(f"sidecar-{index}" for index in range(self.plan.sidecars))
 
     def operator(self) -> str:
         """The sidecars' operator file. gRPC's part of the lab is imported where there is some."""
@@ -248,6 +265,8 @@
         await asyncio.gather(*[one.stop() for one in self.sidecars])
         if self.roster is not None:
             self.roster.close()
+        if self.registry is not None:
+            self.registry.close()
         for node in self.nodes:
             node.stop()
         self.folder.cleanup()
--- a/wickspread/lab/script.py
+++ b/wickspread/lab/script.py
@@ -6,16 +6,19 @@
 import random
 import tomllib
 from dataclasses import dataclass, fields
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from wickspread.lab.ledger import Faulted, Ledger, now_us
 from wickspread.lab.nodes import Node
 from wickspread.lab.roster import Roster
 
 KINDS = ("silent", "slow", "errors", "lost", "reset", "half", "drain", "restart", "crash", "roster_down",
-         "roster_late")
+         "roster_late", "etcd_down")
 MOST_FAULTS = 1000
 
+if TYPE_CHECKING:
+    from wickspread.lab.registry import Registry
+
 
 class ScriptError(Exception):
     """The script can't be used; one line naming the key."""
@@ -84,10 +87,11 @@
     """Does what the script says to the nodes and the roster."""
 
     def __init__(self, faults: list[Fault], nodes: list[Node], roster: Roster, ledger: Ledger,
-                 seed: int) -> None:
+                 seed: int, registry: Registry | None = None) -> None:
         self.faults = sorted(faults, key=lambda fault: fault.at_s)
         self.nodes = nodes
         self.roster = roster
+        self.registry = registry
         self.ledger = ledger
         self.dice = random.Random(seed)
         self.now: dict[int, str] = {}  # what is wrong at present, for those who watch
@@ -116,6 +120,13 @@
             self.of_roster(fault, True)
             await asyncio.sleep(fault.for_s)
             self.of_roster(fault, False)
+        elif fault.kind == "etcd_down":
+            if self.registry is None:
+                raise ScriptError("etcd_down: there is no etcd in this play")
+            self.say(number, "etcd is away")
+            await self.registry.down(True)
+            await asyncio.sleep(fault.for_s)
+            await self.registry.down(False)
         else:
             chosen = self.choose(fault)
             names = ", ".join(node.name for node in chosen[:3]) + (" ..." if len(chosen) > 3 else "")
@@ -155,7 +166,7 @@
         if fault.kind == "drain":
             for node in chosen:
                 node.health = "terminating"
-            self.roster.change(*[node.entry() for node in chosen])
+            self.tell(chosen)
             await asyncio.sleep(fault.for_s)
         for node in chosen:
             node.stop()
@@ -163,4 +174,11 @@
             await asyncio.sleep(fault.for_s)
         for node in chosen:
             await node.restart()
-        self.roster.change(*[node.entry() for node in chosen])
+        self.tell(chosen)
+
+    def tell(self, chosen: list[Node]) -> None:
+        """The sources list them as they are now."""
+        entries = [node.entry() for node in chosen]
+        self.roster.change(*entries)
+        if self.registry is not None:
+            self.registry.put(*entries)
