Gossip on whole sidecars: sockets, commands, the lab's keys and its liar

Change: the transport's tests (peers that stall, send a byte at a time, too much, noise), two sidecars that tell each other what they see and stop hearing the revoked, keys from first to last, the lab's sidecars with gossip, and a certified instance that lies without end.

--- /dev/null
+++ b/tests/gossip/test_transport.py
@@ -0,0 +1,219 @@
+"""Gossip on real sockets: peers that stall in an exchange, whole sidecars, and the commands for keys."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import subprocess
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.sockets import LONG_S, ROOT, Discovery, Sidecar, Upstream, eventually
+from wickspread.gossip import transport as sockets
+from wickspread.gossip.command import main
+from wickspread.gossip.instance import Instance
+from wickspread.gossip.transport import Transport, wall_us
+from wickspread.lab.gossip import Keys
+from wickspread.lab.ledger import now_us
+from wickspread.lab.scene import Plan, settings
+
+FOLDER = tempfile.TemporaryDirectory()
+KEYS = Keys(FOLDER.name)
+
+
+async def speaker(number: int, seeds: list[tuple[str, int]]) -> Transport:
+    ring = KEYS.keyring(f"i{number}", "s")
+    instance = Instance(ring, ("127.0.0.1", 0), seeds, random.Random(number), now_us(), wall_us(),
+                        lambda node: 5, floor=1)
+    one = Transport(instance, now_us, lambda told: None)
+    instance.address = await one.open(("127.0.0.1", 0))
+    core = instance.core
+    core.own = core.sign(core.alive(core.incarnation))
+    core.spread("alive", core.own)
+    one.start()
+    return one
+
+
+async def until(what: Callable[[], Any]) -> None:
+    async with asyncio.timeout(LONG_S):
+        while not what():
+            await asyncio.sleep(0.005)
+
+
+def play(test: Callable[[Transport, Transport], Awaitable[None]]) -> None:
+    async def run() -> None:
+        one = await speaker(1, [])
+        two = await speaker(2, [one.instance.address])
+        try:
+            await asyncio.wait_for(test(one, two), 2 * LONG_S)
+        finally:
+            one.close()
+            two.close()
+
+    asyncio.run(run())
+
+
+def knows(one: Transport, count: int) -> bool:
+    return len(one.instance.core.living()) == count
+
+
+@pytest.mark.parametrize("manner", ["silent", "a byte at a time", "too large", "half", "noise", "leaves"])
+def test_a_peer_that_stalls_in_an_exchange_is_left_and_costs_the_others_nothing(
+        manner: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(sockets, "EXCHANGE_S", 0.4)
+
+    async def test(one: Transport, two: Transport) -> None:
+        ends: list[int] = []
+        tasks: list[asyncio.Task[None]] = []
+
+        async def stall(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            data = KEYS.keyring("i9", "s").seal_state([], wall_us())
+            with_size = len(data).to_bytes(4, "big") + data
+            try:
+                if manner == "a byte at a time":
+                    for at in range(len(with_size)):
+                        writer.write(with_size[at:at + 1])
+                        await asyncio.sleep(0.05)
+                elif manner == "too large":
+                    writer.write(b"\xff\xff\xff\xff")
+                elif manner == "half":
+                    writer.write(with_size[:50])
+                elif manner == "noise":
+                    writer.write(b"\0\0\0\x20" + bytes(32))
+                elif manner == "leaves":
+                    writer.transport.abort()
+                while await reader.read(1 << 16):
+                    pass
+            except OSError:
+                pass
+            ends.append(1)
+
+        for _ in range(sockets.MOST_EXCHANGES):
+            opened = await asyncio.open_connection(*one.instance.address)
+            tasks.append(asyncio.get_running_loop().create_task(stall(*opened)))
+        await until(lambda: len(ends) == sockets.MOST_EXCHANGES)
+        await until(lambda: knows(one, 1) and knows(two, 1))
+        assert one.exchanges == 0
+
+    play(test)
+
+
+def test_more_exchanges_than_are_allowed_are_turned_away(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(one: Transport, two: Transport) -> None:
+        await until(lambda: knows(one, 1) and knows(two, 1) and not one.exchanges)
+        held = [await asyncio.open_connection(*one.instance.address) for _ in range(sockets.MOST_EXCHANGES)]
+        await until(lambda: one.exchanges == sockets.MOST_EXCHANGES)
+        reader, _ = await asyncio.open_connection(*one.instance.address)
+        with pytest.raises(ConnectionError):
+            assert await reader.read(1) == b""
+            raise ConnectionResetError  # ended without a reset
+        for _, writer in held:
+            writer.transport.abort()
+        await until(lambda: one.exchanges == 0)
+
+    play(test)
+
+
+def test_datagrams_of_any_kind_do_nothing() -> None:
+    async def test(one: Transport, two: Transport) -> None:
+        await until(lambda: knows(one, 1) and knows(two, 1))
+        udp, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            asyncio.DatagramProtocol, remote_addr=one.instance.address)
+        dice = random.Random(4)
+        for size in (0, 1, 60, 500, 1300, 9000):
+            udp.sendto(dice.randbytes(size))
+        await until(lambda: one.instance.keyring.refused.total() >= 5)
+        udp.close()
+        assert knows(one, 1)
+
+    play(test)
+
+
+@contextmanager
+def gossiping(roster: list[Upstream], keys: Keys, name: str, seeds: list[str]) -> Iterator[Sidecar]:
+    path = keys.folder / f"{name}.toml"
+    path.write_text(keys.table(name, "s", seeds))
+    with Discovery([one.entry() for one in roster]) as discovery:
+        sidecar = Sidecar(roster, discovery, env={"WICKSPREAD_OPERATOR": str(path)})
+        sidecar.command = f"exec {sys.executable} -B -m wickspread.sidecar"
+        with sidecar:
+            yield sidecar
+            assert sidecar.stop() == 0
+
+
+def members(keys: Keys, name: str, *more: str) -> str:
+    path = str(keys.folder / f"{name}.sock")
+    asked = [sys.executable, "-m", "wickspread", "gossip", "members", path, *more]
+    return subprocess.run(asked, cwd=ROOT, capture_output=True, text=True, timeout=LONG_S, check=True).stdout
+
+
+def test_sidecars_find_one_another_tell_what_they_see_and_stop_hearing_the_revoked() -> None:
+    def silent(request: object, client: object) -> bytes:
+        return b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+
+    with tempfile.TemporaryDirectory() as folder, Upstream(script=silent) as bad:
+        keys = Keys(folder)
+        with gossiping([bad], keys, "one", []) as one:
+            seed = eventually(lambda: [line.split()[-1] for line in one.lines if " is heard at " in line])
+            with gossiping([bad], keys, "two", seed) as two:
+                eventually(lambda: "two  alive" in members(keys, "one"))
+                for _ in range(3):
+                    assert two.request("POST", "/pay/7", b"x").status == 502
+                eventually(lambda: f"node {bad.name}: weight" in members(keys, "one"))
+                told = json.loads(members(keys, "one", "--json"))
+                assert told["nodes"][bad.name]["by"]["two"]["run"] >= 2
+                assert told["nodes"][bad.name]["weight"] == 0.0  # of one alone
+                serial = next(peer["serial"] for peer in told["peers"] if peer["name"] == "two")
+                assert main(["revoke", f"{folder}/revoked", "--serial", str(serial)]) == 0
+                eventually(lambda: " revoked" in members(keys, "one").splitlines()[-1])
+
+
+def test_keys_from_first_to_last(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    fleet, own, cert = str(tmp_path / "fleet"), str(tmp_path / "own"), str(tmp_path / "own.cert")
+    assert main(["keygen", fleet]) == main(["keygen", own]) == 0
+    assert main(["keygen", own]) == 1  # never over one that is there
+    assert (tmp_path / "own").stat().st_mode & 0o077 == 0
+    assert main(["certify", fleet, own + ".pub", "n0", "makati", cert, "--days", "7"]) == 0
+    assert main(["certify", own + ".pub", own + ".pub", "n0", "makati", cert + "2"]) == 1
+    assert main(["revoke", str(tmp_path / "revoked"), cert]) == 0
+    assert main(["revoke", str(tmp_path / "revoked"), cert]) == 0
+    assert len((tmp_path / "revoked").read_text().splitlines()) == 1
+    assert main(["members", str(tmp_path / "nowhere")]) == 1
+    said = capsys.readouterr()
+    assert "n0 of makati" in said.out and "it is there already" in said.err and "Traceback" not in said.err
+
+
+@pytest.mark.parametrize(("changes", "line"), [
+    ({"key_file": None}, "gossip.key_file: missing; gossip.bind needs it"),
+    ({"key_file": "/nowhere"}, "gossip: /nowhere: No such file"),
+    ({"certificate_file": "KEY.pub"}, "no certificate"),
+    ({}, "gossip.certificate_file"),
+    ({"bind": "here"}, "gossip.bind: "), ({"seeds": ["x"]}, "gossip.seeds: "),
+    ({"bind": "192.0.2.1:7000"}, "gossip.bind: ")])  # an address that is no machine's
+def test_what_can_not_be_used_ends_the_start_with_one_line(changes: dict[str, Any], line: str,
+                                                           tmp_path: Path) -> None:
+    key, other = str(tmp_path / "k"), str(tmp_path / "other")
+    main(["keygen", key])
+    main(["keygen", other])
+    of = other if line == "gossip.certificate_file" else key
+    main(["certify", key, of + ".pub", "n", "s", key + ".cert"])
+    table = {"bind": "127.0.0.1:0", "key_file": key, "certificate_file": key + ".cert",
+             "fleet_keys": [key + ".pub"]} | changes
+    text = json.dumps({name: one for name, one in table.items() if one is not None}).replace("KEY", key)
+    (tmp_path / "operator.toml").write_text("[gossip]\n" + "\n".join(
+        f"{name} = {json.dumps(one)}" for name, one in json.loads(text).items()))
+    (tmp_path / "config.json").write_text(json.dumps({"seed": "1", "settings": settings(Plan(), 0)}))
+    env = os.environ | {"PROXY_NAME": "n", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:9",
+                        "PROXY_CONFIG": str(tmp_path / "config.json"),
+                        "WICKSPREAD_OPERATOR": str(tmp_path / "operator.toml")}
+    done = subprocess.run([sys.executable, "-m", "wickspread.sidecar"], cwd=ROOT, env=env, text=True,
+                          capture_output=True, timeout=LONG_S)
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and line in done.stderr, done.stderr
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -95,10 +95,10 @@
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and line in done.stderr, done.stderr
 
 
-def test_without_grpc_no_http2_library_is_imported(tmp_path: Path) -> None:
+def test_without_a_table_nothing_of_its_subsystem_is_imported(tmp_path: Path) -> None:
     """The sidecar's wiring, with everything that it imports at its start."""
     code = ("import sys, wickspread.sidecar.__main__; "
-            "print([name for name in sys.modules if name.split('.')[0] in ('ngh2', 'grpc', 'h2')"
-            " or name.startswith(('wickspread.grpc', 'wickspread.http2'))])")
+            "print([name for name in sys.modules if name.split('.')[0] in ('ngh2', 'grpc', 'h2', 'nacl')"
+            " or name.startswith(('wickspread.grpc', 'wickspread.http2', 'wickspread.gossip'))])")
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
--- a/wickspread/gossip/core.py
+++ b/wickspread/gossip/core.py
@@ -41,6 +41,8 @@
 TOLD = 2.5  # a rumour goes out so many times log2 n (SWIM, 4.1)
 RUMOURS = 6  # on one packet
 FANOUT = 3  # peers that hear of urgent news at once, and pass what is new on to as many
+LEAST_GAP_US = 80_000  # between two bulletins of one author; more are not heard
+URGENT_GAP_US = 300_000  # between two of one author that are passed on at once
 URGENT_A_SECOND = 30.0  # packets of news that one instance sends
 EXCHANGE_US = 30_000_000  # between exchanges of all that is known
 JOIN_US = 500_000  # between tries of a seed, doubled
@@ -69,6 +71,7 @@
     life: Life = Life.ALIVE
     since_us: int = 0
     accusers: set[str] = field(default_factory=set)
+    urgent_us: int = 0  # when news of it was last passed on at once
 
 
 @dataclass(slots=True)
@@ -380,11 +383,17 @@
 
     def on_bulletin(self, told: Signed, bulletin: Bulletin, now_us: int) -> list[Action]:
         peer, last = self.peers.get(told.author), self.bulletins.get(told.author)
-        if peer is None or peer.life is Life.DEAD or (last is not None and told.at_us <= last.at_us):
+        # hazard: one that speaks without end would fill all packets of all
+        if peer is None or peer.life is Life.DEAD or (
+                last is not None and told.at_us - last.at_us < LEAST_GAP_US):
             return []
         self.bulletins[told.author] = told
         self.spread("bulletin", told)
-        return [Heard(told.author, peer.site, bulletin), *self.news(told, now_us)]
+        heard: list[Action] = [Heard(told.author, peer.site, bulletin)]
+        if now_us - peer.urgent_us < URGENT_GAP_US:
+            return heard
+        peer.urgent_us = now_us
+        return heard + self.news(told, now_us)
 
     # Rumours
 
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -13,7 +13,7 @@
 from wickspread.gossip import files
 from wickspread.gossip.instance import Address, Instance, Sized, Suspect
 from wickspread.gossip.keys import Keyring
-from wickspread.gossip.transport import Transport, wall_us
+from wickspread.gossip.transport import Transport, log, wall_us
 from wickspread.membership.show import clear
 from wickspread.operator.file import Gossip, OperatorError
 from wickspread.sidecar.config import parse_address
@@ -80,6 +80,8 @@
                     os.umask(mask)
         except OSError as error:
             raise OperatorError(f"gossip.socket: {error}") from error
+        log.info("gossip: %s of %s is heard at %s:%d", instance.core.name, instance.core.site,
+                 *instance.address)
         engine.observe = self.observe
         self.transport.start()
         self.look()
@@ -122,14 +124,9 @@
             try:
                 self.keyring.turn_off(self.revoked())
             except files.FileError as error:
-                self.transport_complaint(str(error))
+                log.warning("gossip: %s", error)
         self.watch = self.engine.loop.call_later(LOOK_S, self.look)
 
-    def transport_complaint(self, text: str) -> None:
-        from wickspread.gossip.transport import log
-
-        log.warning("gossip: %s", text)
-
     # For people
 
     def described(self) -> dict[str, Any]:
--- /dev/null
+++ b/wickspread/lab/gossip.py
@@ -0,0 +1,95 @@
+"""Keys for the lab's sidecars, so that they gossip; and one certified instance that lies without end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from pathlib import Path
+
+from nacl.signing import SigningKey
+
+from wickspread.gossip import codec, files
+from wickspread.gossip.instance import Instance, Sized, Suspect
+from wickspread.gossip.keys import Keyring, certify
+from wickspread.gossip.transport import Transport, wall_us
+from wickspread.lab.ledger import now_us
+
+LIE_S = 0.2
+
+
+class Keys:
+    """A fleet's key and the certificates under it, in a folder."""
+
+    def __init__(self, folder: str) -> None:
+        self.folder = Path(folder)
+        self.fleet = SigningKey.generate()
+        self.serial = 0
+        (self.folder / "fleet.pub").write_text(self.fleet.verify_key.encode().hex())
+
+    def keyring(self, name: str, site: str) -> Keyring:
+        key = SigningKey.generate()
+        self.serial += 1
+        until_s, public = int(time.time()) + 86_400, key.verify_key.encode()
+        one = certify(self.fleet, self.serial, name, site, public, until_s)
+        return Keyring(key, one, [self.fleet.verify_key.encode()])
+
+    def table(self, name: str, site: str, seeds: list[str]) -> str:
+        """That instance's part of the operator file."""
+        ring, path = self.keyring(name, site), self.folder / name
+        files.put(f"{path}.key", ring.key.encode().hex(), secret=True)
+        files.put(f"{path}.cert", codec.encode(ring.certificate).hex())
+        return (f'[gossip]\nbind = "127.0.0.1:0"\nseeds = {json.dumps(seeds)}\nkey_file = "{path}.key"\n'
+                f'certificate_file = "{path}.cert"\nfleet_keys = ["{self.folder / "fleet.pub"}"]\n'
+                f'revoked_file = "{self.folder / "revoked"}"\nsocket = "{path}.sock"\n')
+
+
+class Liar:
+    """Takes part as any other, and says of all its nodes that they are silent, or that they are well."""
+
+    def __init__(self, ring: Keyring, seed: tuple[str, int], nodes: list[str], born_ms: int = 0,
+                 well: bool = False) -> None:
+        self.instance = Instance(ring, ("127.0.0.1", 0), [seed], random.Random(1), now_us(), wall_us(), none)
+        self.transport = Transport(self.instance, now_us, unheard)
+        self.nodes = nodes
+        self.born_ms = born_ms
+        self.well = well
+        self.said = 0
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        address = await self.transport.open(("127.0.0.1", 0))
+        self.instance.address = address
+        core = self.instance.core
+        core.own = core.sign(core.alive(core.incarnation))
+        core.spread("alive", core.own)
+        self.transport.start()
+        self.task = asyncio.get_running_loop().create_task(self.lie())
+
+    async def lie(self) -> None:
+        while True:
+            await asyncio.sleep(LIE_S)
+            counts = []
+            for _ in range(min(codec.MOST_COUNTS, len(self.nodes))):
+                name = self.nodes[self.said % len(self.nodes)]
+                self.said += 1
+                bad = 0 if self.well else 1000
+                counts.append(codec.Count(name, self.born_ms, 1000, bad, 0, 0, 1000 - bad, bad, 0))
+            self.instance.wall_us = wall_us()
+            actions = self.instance.core.publish(codec.Bulletin(counts), True, now_us())
+            self.transport.perform(self.instance.outputs(actions, now_us()))
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        self.transport.close()
+
+
+def unheard(one: Suspect | Sized) -> None:
+    """What comes of it is nothing to the liar."""
+
+
+def none(node: str) -> int | None:
+    """It uses no nodes itself."""
+    return None
--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -21,6 +21,7 @@
 from wickspread.lab.script import Fault, Player
 
 if TYPE_CHECKING:
+    from wickspread.lab.gossip import Keys
     from wickspread.lab.registry import Registry
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -54,6 +55,7 @@
     faults: tuple[Fault, ...] = ()
     grpc: float = 0.0  # share of the requests that come by gRPC
     etcd: int = 0  # members of a stand-in of etcd, in which the nodes are listed too; 0 = none
+    gossip: bool = False  # the sidecars tell one another what they see of nodes
     keep_nodes: bool = True  # record what nodes see; off for long measurements
 
 
@@ -179,6 +181,8 @@
         self.crowds: list[Crowd] = []
         self.roster: Roster | None = None
         self.registry: Registry | None = None
+        self.keys: Keys | None = None
+        self.gossip: tuple[str, int] = ("", 0)  # where the first sidecar is heard
         self.player: Player | None = None
         self.folder = tempfile.TemporaryDirectory(prefix="wickspread-lab-")
 
@@ -202,7 +206,10 @@
                       "limits": {"sockets": plan.sockets}, "known": self.roster.known(),
                       "settings": settings(plan, index)}
             self.sidecars.append(SidecarProcess(name, config, self.folder.name, operator))
-        await asyncio.gather(*[one.start() for one in self.sidecars])
+        if plan.gossip:
+            await self.start_gossiping()
+        else:
+            await asyncio.gather(*[one.start() for one in self.sidecars])
         for index, one in enumerate(self.sidecars):
             for kind, share in self.protocols():
                 crowd = kind(self.ledger, one.name, one.address, list(plan.loads), plan.manners,
@@ -212,6 +219,21 @@
         self.player = Player(list(plan.faults), self.nodes, self.roster, self.ledger, plan.seed,
                              self.registry)
 
+    async def start_gossiping(self) -> None:
+        """The first one is the seed of the others."""
+        from wickspread.lab.gossip import Keys
+
+        self.keys = Keys(self.folder.name)
+        seeds: list[str] = []
+        for index, one in enumerate(self.sidecars):
+            one.operator += self.keys.table(one.name, self.plan.sites[index % len(self.plan.sites)], seeds)
+            if index == 0:
+                await one.start()
+                seeds = [line.split()[-1] for line in one.lines if " is heard at " in line]
+                host, _, port = seeds[0].partition(":")
+                self.gossip = host, int(port)
+        await asyncio.gather(*[one.start() for one in self.sidecars[1:]])
+
     async def listed_in_etcd(self) -> str:
         """etcd's part of the operator file. Imported where there is some."""
         if not self.plan.etcd:
