--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -1,6 +1,7 @@
 """What gossip saves when a node falls silent, and what a liar can take: real sidecars under the lab's load.
 
     python -m benchmarks.gossip [--sidecars 50] [--nodes 20] [--rate 800] [--seconds 40] [--seed 1]
+        [--told 0]
 
 The same seed four times: without gossip, with it, with it and one certified instance that says without end of
 every node that it is silent, and once more with it (what chance alone makes of a node's share). A node falls
@@ -97,10 +98,12 @@
     parser.add_argument("--rate", type=float, default=800.0, help="requests a second, all together")
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--told", type=int, default=0, help="sidecars as the settings have it; 0 = as many")
     parser.add_argument("--plays", default="without,with,liar,again")
     asked = parser.parse_args()
-    plan = Plan(nodes=asked.nodes, sidecars=asked.sidecars, rate=asked.rate, seconds=asked.seconds,
-                seed=asked.seed, sites=("makati", "pasig", "cebu", "davao", "iloilo"), sockets=256,
+    plan = Plan(nodes=asked.nodes, sidecars=asked.sidecars, instances=asked.told, rate=asked.rate,
+                seconds=asked.seconds, seed=asked.seed, sockets=256,
+                sites=("makati", "pasig", "cebu", "davao", "iloilo"),
                 machine=Machine(cores=8, work_us=8_000), manners=Manners(tries=1))
     shares: dict[str, Counter[str]] = {}
     for name in asked.plays.split(","):
--- a/tests/gossip/test_core.py
+++ b/tests/gossip/test_core.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from tests.gossip.fleet import Fleet
 from wickspread.gossip import codec
 from wickspread.gossip.core import Life
 from wickspread.gossip.instance import HOLD_US, Census
+from wickspread.lab.flock import Fleet
 
 
 def settled(count: int, sites: int = 2, seed: int = 1) -> Fleet:
--- a/tests/gossip/test_evidence.py
+++ b/tests/gossip/test_evidence.py
@@ -5,11 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.gossip.fleet import BORN_MS, Fleet
 from wickspread.balance import BELIEVED
 from wickspread.gossip.codec import MOST_COUNTS, Bulletin, Count
 from wickspread.gossip.evidence import WINDOW_US, Combiner, Own, tolerated, trimmed
 from wickspread.interface import Outcome
+from wickspread.lab.flock import BORN_MS, Fleet
 
 NOW_US = 100_000_000
 
--- a/tests/gossip/test_keys.py
+++ b/tests/gossip/test_keys.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 from nacl.signing import SigningKey
 
-from tests.gossip.fleet import WALL_US, Fleet
 from wickspread.gossip import codec
 from wickspread.gossip.codec import Bulletin, Count, News, Ping
 from wickspread.gossip.instance import STRIKES, Datagram
 from wickspread.gossip.keys import BURST, SKEW_US, Keyring, Refused, certify
+from wickspread.lab.flock import WALL_US, Fleet
 
 FLEET = Fleet(3, 1)
 ONE, TWO = FLEET.keyring(1, "s0"), FLEET.keyring(2, "s0")
--- a/wickspread/gossip/core.py
+++ b/wickspread/gossip/core.py
@@ -43,7 +43,8 @@
 FANOUT = 3  # peers that hear of urgent news at once, and pass what is new on to as many
 LEAST_GAP_US = 80_000  # between two bulletins of one author; more are not heard
 URGENT_GAP_US = 300_000  # between two of one author that are passed on at once
-URGENT_A_SECOND = 30.0  # packets of news that one instance sends
+URGENT_A_SECOND = 60.0  # packets of news that one instance sends
+URGENT_WAIT_US = 10_000  # what comes within it goes on in the same packets
 EXCHANGE_US = 30_000_000  # between exchanges of all that is known
 JOIN_US = 500_000  # between tries of a seed, doubled
 DEAD_US = 60_000_000  # the dead are kept so long, and one of them pinged each period: a partition may heal
@@ -125,6 +126,7 @@
 class Rumour:
     told: Signed
     times: int = 0  # that it went out
+    late: bool = False  # who joins can wait: there are as many at a start as there are instances
 
 
 class Core:
@@ -150,6 +152,8 @@
         self.seq = dice.randrange(1 << 30)
         self.health = 0  # 0 is well
         self.urgent, self.urgent_us = URGENT_A_SECOND, now_us
+        self.hot: list[Signed] = []  # news that is to go on at once
+        self.hot_us = 0
         self.tries = 0
         # hazard: all that start together would ask the seeds together
         self.ping_us = now_us + int(PERIOD_US * dice.random())
@@ -174,6 +178,8 @@
         if self.probe is not None:
             times.append(self.probe.direct_us if not self.probe.helpers else self.probe.until_us)
         times += [until for *_, until in self.relays.values()]
+        if self.hot:
+            times.append(self.hot_us)
         times += [one.since_us + self.suspicion_us(one) for one in self.peers.values()
                   if one.life is Life.SUSPECT]
         return min(times)
@@ -214,6 +220,8 @@
             elif one.life is Life.DEAD and now_us >= one.since_us + DEAD_US:
                 del self.peers[one.name]
                 self.bulletins.pop(one.name, None)
+        if self.hot and now_us >= self.hot_us:
+            actions += self.tell_news(now_us)
         probe = self.probe
         if probe is not None and not probe.helpers and now_us >= probe.direct_us:
             actions += self.ask_others(probe)
@@ -341,6 +349,7 @@
 
     def on_alive(self, told: Signed, alive: Alive, now_us: int) -> list[Action]:
         peer, certificate = self.peers.get(told.author), alive.certificate
+        joins = peer is None
         if peer is None:
             if len(self.peers) >= MOST_PEERS:
                 self.counts["peers over the limit"] += 1
@@ -354,7 +363,7 @@
         peer.certificate, peer.site = certificate, certificate.site
         peer.life, peer.since_us = Life.ALIVE, now_us
         peer.accusers.clear()
-        self.spread("alive", told)
+        self.spread("alive", told, late=joins)
         return []
 
     def on_accusation(self, told: Signed, said: Accusation, now_us: int) -> list[Action]:
@@ -393,7 +402,7 @@
         if now_us - peer.urgent_us < URGENT_GAP_US:
             return heard
         peer.urgent_us = now_us
-        return heard + self.news(told, now_us)
+        return heard + self.news(told, now_us, URGENT_WAIT_US)
 
     # Rumours
 
@@ -401,19 +410,35 @@
         """Our own, in place of the last."""
         told = self.bulletins[self.name] = self.sign(bulletin)
         self.spread("bulletin", told)
-        return self.news(told, now_us) if urgent else []
+        return self.news(told, now_us, 0) if urgent else []
 
-    def news(self, told: Signed, now_us: int) -> list[Action]:
-        """At once to a few; each passes on what is new to it, so that all have it in log n trips."""
+    def news(self, told: Signed, now_us: int, wait_us: int) -> list[Action]:
+        """At once to a few; each passes on what is new to it, so that all have it in log n trips. Hazard: a
+        node that fails for many is news by the dozen; what comes together goes on together."""
+        if not self.hot:
+            self.hot_us = now_us + wait_us
+        self.hot.append(told)
+        return self.tell_news(now_us) if now_us >= self.hot_us else []
+
+    def tell_news(self, now_us: int) -> list[Action]:
         self.urgent = min(URGENT_A_SECOND, self.urgent + URGENT_A_SECOND * (now_us - self.urgent_us) / 1e6)
         self.urgent_us = now_us
-        others = [one for one in self.living() if one.name != told.author]
-        chosen = self.dice.sample(others, min(FANOUT, len(others), int(self.urgent)))
-        self.urgent -= len(chosen)
-        return [Send(one.address, News(), (told,)) for one in chosen]
+        others, actions = self.living(), list[Action]()
+        while self.hot:
+            some, room = [self.hot.pop()], ROOM  # the latest first, should there be too much
+            room -= size_of(some[0])
+            while self.hot and len(some) < RUMOURS and size_of(self.hot[-1]) <= room:
+                some.append(self.hot.pop())
+                room -= size_of(some[-1])
+            chosen = self.dice.sample(others, min(FANOUT, len(others), int(self.urgent)))
+            self.urgent -= len(chosen)
+            if not chosen:
+                self.hot.clear()  # the pings carry it
+            actions += [Send(one.address, News(), tuple(some)) for one in chosen]
+        return actions
 
-    def spread(self, kind: str, told: Signed, *key: str) -> None:
-        self.rumours[(kind, *(key or (told.author,)))] = Rumour(told)
+    def spread(self, kind: str, told: Signed, *key: str, late: bool = False) -> None:
+        self.rumours[(kind, *(key or (told.author,)))] = Rumour(told, late=late)
 
     def send(self, address: tuple[str, int], message: Message, peer: Peer | None = None) -> Send:
         """With the rumours that have gone out least. A suspect hears of it first, so that it can refute
@@ -425,7 +450,7 @@
         room = ROOM
         for key, rumour in sorted(self.rumours.items(), key=times_told):
             told = rumour.told
-            room -= len(told.body) + len(told.author) + 84
+            room -= size_of(told)
             if room < 0 or len(chosen) >= RUMOURS:
                 break
             chosen.append(told)
@@ -435,5 +460,11 @@
         return Send(address, message, tuple(chosen))
 
 
-def times_told(pair: tuple[tuple[str, ...], Rumour]) -> int:
-    return pair[1].times
+def times_told(pair: tuple[tuple[str, ...], Rumour]) -> tuple[int, bool]:
+    """Least told first, and who joins after all else."""
+    return pair[1].times, pair[1].late
+
+
+def size_of(told: Signed) -> int:
+    """Bytes that it takes on a packet, at most."""
+    return len(told.body) + len(told.author) + 84
--- a/tests/gossip/fleet.py
+++ b/wickspread/lab/flock.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import heapq
 import itertools
 import random
@@ -11,6 +12,7 @@
 from nacl.signing import SigningKey
 
 from wickspread.balance import BELIEVED
+from wickspread.gossip.codec import Certificate
 from wickspread.gossip.instance import Address, Datagram, Exchange, Instance, Output, Sized, Suspect
 from wickspread.gossip.keys import Keyring, Refused, certify
 from wickspread.interface import Outcome
@@ -20,6 +22,34 @@
 BORN_MS = 5
 
 
+class Stamp:
+    """In a key's place: a digest of what is signed."""
+
+    def __init__(self, data: bytes) -> None:
+        self.signature = hashlib.blake2b(data, digest_size=64).digest()
+
+
+class CheapKey:
+    def sign(self, data: bytes) -> Stamp:
+        return Stamp(data)
+
+
+class CheapKeys(Keyring):
+    """For whole fleets in virtual time: digests for signatures, all else as it is."""
+
+    def __init__(self, certificate: Certificate) -> None:
+        super().__init__(SigningKey(bytes(32)), certificate, [])
+        self.key = CheapKey()  # type: ignore[assignment]
+
+    def certified(self, one: Certificate, now_us: int, wall_us: int) -> None:
+        if one.serial in self.revoked:
+            raise Refused("revoked")
+
+    def verify(self, key: bytes, data: bytes, signature: bytes, now_us: int) -> None:
+        if Stamp(data).signature != signature:
+            raise Refused("forged")
+
+
 @dataclass
 class Member:
     instance: Instance
@@ -32,8 +62,9 @@
 
 
 class Fleet:
-    def __init__(self, count: int, sites: int = 2, seed: int = 1,
-                 nodes: tuple[str, ...] = ("n1", "n2")) -> None:
+    def __init__(self, count: int, sites: int = 2, seed: int = 1, nodes: tuple[str, ...] = ("n1", "n2"),
+                 cheap: bool = False) -> None:
+        self.cheap = cheap  # no real signatures
         self.dice = random.Random(seed)
         self.now_us = 1_000_000
         self.nodes = nodes
@@ -48,6 +79,10 @@
             self.add(number, f"s{number % sites}")
 
     def keyring(self, number: int, site: str, name: str = "") -> Keyring:
+        if self.cheap:
+            bare = Certificate(number + 1, name or f"i{number}", site, number.to_bytes(32, "big"), 1 << 40,
+                               bytes(64))
+            return CheapKeys(bare)
         key = SigningKey(number.to_bytes(32, "big"))
         until_s, public = WALL_US // 1_000_000 + 86_400, key.verify_key.encode()
         one = certify(self.fleet_key, number + 1, name or f"i{number}", site, public, until_s)
@@ -153,6 +188,10 @@
         self.perform(member, member.instance.attempt(node, BORN_MS, outcome, self.now_us,
                                                      self.wall_us(member.clock_us)))
 
+    def counted(self, name: str) -> int:
+        """Of all together."""
+        return sum(one.instance.core.counts[name] for one in self.members.values())
+
     def knows_all(self) -> bool:
         living = [one for one in self.all() if not one.stopped]
         return all(len(one.instance.core.living()) == len(living) - 1 for one in living)
