--- a/wickspread/gossip/evidence.py
+++ b/wickspread/gossip/evidence.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from wickspread.gossip.codec import MOST_COUNTS, MOST_WHOLE, Bulletin, Count
@@ -150,11 +150,11 @@
             if strength > 0.0:
                 found.setdefault(one.site, []).append((one.against(), strength))
                 well_here += one.site == self.site and one.count.run == 0
-        own = trimmed(found.pop(self.site, []), sites.get(self.site, 0))
-        if own > 0.0 or well_here >= KEPT_WELL:
+        own = trimmed(found.get(self.site, []), sites.get(self.site, 0))
+        if well_here >= KEPT_WELL:
             return own
-        return trimmed([(trimmed(votes, sites.get(site, 0)), 1.0) for site, votes in found.items()],
-                       len(sites))
+        # a node is used by few of each site: a site is one vote, whatever several of it say
+        return max(own, trimmed([(mean(votes), 1.0) for votes in found.values()], len(sites)))
 
 
 def tolerated(voters: int) -> int:
@@ -163,12 +163,14 @@
 
 
 def trimmed(votes: Iterable[tuple[float, float]], voters: int) -> float:
-    """The mean of (vote, strength) without the highest few: those that would raise it most. Each vote pulls
-    by its strength; one that is weak pulls towards 0, not towards the others."""
-    left = sorted(votes, key=pull, reverse=True)[tolerated(voters):]
-    total = sum(max(strength, 0.5) for _, strength in left)
-    return sum(vote * strength for vote, strength in left) / total if total else 0.0
+    """The mean of (vote, strength) without the highest few votes."""
+    return mean(sorted(votes, reverse=True)[tolerated(voters):])
 
 
-def pull(vote: tuple[float, float]) -> float:
-    return vote[0] * vote[1]
+def mean(left: Collection[tuple[float, float]]) -> float:
+    """Of (vote, strength), each pulling by its strength; less where even the strongest is weak."""
+    total = sum(strength for _, strength in left)
+    if total <= 0.0:
+        return 0.0
+    strongest = max(strength for _, strength in left)
+    return sum(vote * strength for vote, strength in left) / total * min(1.0, 2 * strongest)
