--- a/tests/gossip/test_keys.py
+++ b/tests/gossip/test_keys.py
@@ -9,6 +9,8 @@
 from hypothesis import strategies as st
 from nacl.signing import SigningKey
 
+from benchmarks.gossip_fuzz import feed, play
+from tests.sockets import ROOT
 from wickspread.gossip import codec
 from wickspread.gossip.codec import Bulletin, Count, News, Ping
 from wickspread.gossip.instance import STRIKES, Datagram
@@ -110,7 +112,7 @@
             own.statement(forged, ONE.certificate, 0, WALL_US)
     with pytest.raises(Refused, match="of nobody known"):
         own.statement(told, None, 0, WALL_US)
-    alive = ONE.sign(codec.Alive("h", 1, 1, TWO.certificate), WALL_US)  # one key, another's name
+    alive = ONE.sign(codec.Alive("10.0.0.1", 1, 1, TWO.certificate), WALL_US)  # one key, another's name
     with pytest.raises(Refused, match="of another name"):
         own.statement(alive, None, 0, WALL_US)
 
@@ -154,6 +156,24 @@
         ring().statement(ONE.sign(Bulletin(counts), WALL_US), ONE.certificate, 0, WALL_US)
 
 
+@pytest.mark.parametrize("host", ["a.example", "10.0.0.1\n", "", "0.0.0.0", "x" * 64])
+def test_an_address_that_would_be_looked_up_or_reaches_nobody_is_not_taken(host: str) -> None:
+    told = ONE.sign(codec.Alive(host, 7, 1, ONE.certificate), WALL_US)
+    with pytest.raises(Refused, match="malformed"):
+        ring().statement(told, None, 0, WALL_US)
+
+
+def test_the_fuzzer_s_inputs_and_what_it_once_found() -> None:
+    failing: list[bytes] = []
+    assert play(1, 300, failing) == 300 and not failing
+    corpus = ROOT / "tests" / "gossip" / "corpus.txt"
+    fleet = Fleet(4, 2)
+    fleet.run(3.0)
+    for line in corpus.read_text().split():
+        for state in (False, True):
+            feed(fleet, fleet.at(2), bytes.fromhex(line), state)
+
+
 @settings(max_examples=300, deadline=None)
 @given(st.binary(max_size=200), st.integers(0, len(PACKET)), st.integers(0, 8 * len(PACKET) - 1))
 def test_bytes_of_any_kind_are_refused_and_nothing_else(noise: bytes, cut: int, flip: int) -> None:
--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -197,6 +197,8 @@
     ({"certificate_file": "KEY.pub"}, "no certificate"),
     ({}, "gossip.certificate_file"),
     ({"bind": "here"}, "gossip.bind: "), ({"seeds": ["x"]}, "gossip.seeds: "),
+    ({"bind": "0.0.0.0:0"}, "gossip.bind: expected an address that the others reach"),
+    ({"advertise": "a.example:7"}, "gossip.advertise: expected an address"),
     ({"bind": "192.0.2.1:7000"}, "gossip.bind: ")])  # an address that is no machine's
 def test_what_can_not_be_used_ends_the_start_with_one_line(changes: dict[str, Any], line: str,
                                                            tmp_path: Path) -> None:
--- a/wickspread/gossip/keys.py
+++ b/wickspread/gossip/keys.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
 
@@ -178,6 +179,8 @@
             found = codec.statement(told.body)
         except codec.CodecError as error:
             raise Refused("malformed") from error
+        if isinstance(found, codec.Alive) and not is_literal(found.host):
+            raise Refused("malformed")  # hazard: a name would be looked up by whoever sends to it
         certificate = found.certificate if isinstance(found, codec.Alive) else known
         if certificate is None:
             raise Refused("of nobody known")
@@ -193,6 +196,14 @@
         self.revoked = frozenset(revoked)
 
 
+def is_literal(host: str) -> bool:
+    """An address of its own, as digits."""
+    try:
+        return not ipaddress.ip_address(host).is_unspecified
+    except ValueError:
+        return False
+
+
 def certify(fleet: SigningKey, serial: int, name: str, site: str, key: bytes, until_s: int) -> Certificate:
     """The fleet's word for a key."""
     bare = Certificate(serial, name, site, key, until_s, bytes(codec.SIGNATURE))
--- a/wickspread/gossip/transport.py
+++ b/wickspread/gossip/transport.py
@@ -111,7 +111,7 @@
         for one in outputs:
             if isinstance(one, Datagram):
                 if self.udp is not None:
-                    with contextlib.suppress(OSError):  # no way there
+                    with contextlib.suppress(OSError, ValueError):  # no way there
                         self.udp.sendto(one.data, one.address)
             elif isinstance(one, Exchange):
                 task = self.loop.create_task(self.call(one.address))
--- a/wickspread/operator/file.py
+++ b/wickspread/operator/file.py
@@ -210,6 +210,12 @@
                 parse_address(one)
             except ConfigError as error:
                 raise OperatorError(f"gossip.{key}: {error}") from error
+    reached = gossip.advertise or gossip.bind
+    literal = reached[:1].isdigit() or reached.startswith("[")
+    if reached and (not literal or reached.startswith(("0.0.0.0:", "[::]:"))):
+        key = "advertise" if gossip.advertise else "bind"
+        raise OperatorError(f"gossip.{key}: expected an address that the others reach, as digits; got "
+                            f"{shown(reached)}")
     for key in ("key_file", "certificate_file", "fleet_keys"):
         if gossip.bind and not getattr(gossip, key):
             raise OperatorError(f"gossip.{key}: missing; gossip.bind needs it")
