--- a/tests/test_suspected.py
+++ b/tests/test_suspected.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as settings_of
+from hypothesis import strategies as st
 
 from tests.world import World, settings, upstreams
 from wickspread.balance import FRESH_US, MOST_TRIAL_US, TRIAL_US
@@ -120,3 +123,33 @@
     assert one.balancer.sharing == 20.0 and one.balancer.fleet.cold_slots == before / 10
     assert (one.balancer.subset.index, one.balancer.subset.instances) == (3, 20)
     one.tell(Suspected(999, 1.0))  # of an upstream that nobody lists
+
+
+@settings_of(max_examples=60, deadline=None)
+@given(st.lists(st.one_of(
+    st.tuples(st.just("suspect"), st.integers(0, 5), st.floats(0, 1)),
+    st.tuples(st.just("size"), st.integers(1, 60), st.floats(0, 1)),
+    st.tuples(st.just("ask"), st.integers(0, 2), st.floats(0, 1)),
+    st.tuples(st.just("wait"), st.integers(1, 400), st.floats(0, 1))), max_size=80))
+def test_whatever_is_said_the_rules_hold_and_nothing_opens(told: list[tuple[str, int, float]]) -> None:
+    """World checks the rules at each action; what is said opens no slot and closes none for good."""
+    one = world(instances=4)
+    servers = one.balancer.servers
+    for what, number, part in told:
+        if what == "suspect":
+            server = servers[100 + number]
+            before = server.kept or server.slots.window
+            one.tell(Suspected(100 + number, part))
+            assert server.slots.window <= before and (server.kept or server.slots.window) == before
+            if server.kept and server.failing == 0.0:
+                assert server.slots.rest_until_us - one.now_us <= MOST_TRIAL_US * 1.5
+        elif what == "size":
+            one.tell(FleetSized(number, int(part * (number - 1))))
+        elif what == "ask":
+            request = one.arrive(number)
+            if part < 0.7 and one.sends(request):
+                one.advance(5_000)
+                one.end(request, 0, Outcome.OK if part < 0.4 else Outcome.ERROR)
+        else:
+            one.advance(number * 1000)
+    one.advance(5_000_000)
