A fault in gossip costs the gossip, never a request; dice by name, not by the fleet's one seed

Cause: what the engine tells of each attempt ran unguarded behind its answer; with the seed that a site's sidecars share all drew the same peers. Result: with a fault put into it five requests are answered, one line is logged and gossip is told no more (without the guard the fault came up through each attempt's end, and the test fails).

--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -219,3 +219,24 @@
     done = subprocess.run([sys.executable, "-m", "wickspread.sidecar"], cwd=ROOT, env=env, text=True,
                           capture_output=True, timeout=LONG_S)
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and line in done.stderr, done.stderr
+
+
+def test_a_fault_in_gossip_costs_no_request() -> None:
+    """The engine tells how each attempt ended; whatever becomes of that, the answer stands."""
+    code = ("import sys; from wickspread.gossip.instance import Instance\n"
+            "def fault(*_): raise RuntimeError('a fault')\n"
+            "Instance.attempt = fault\n"
+            "from wickspread.sidecar.__main__ import main; sys.exit(main())")
+    with tempfile.TemporaryDirectory() as folder, Upstream(b"ok") as good:
+        keys = Keys(folder)
+        path = keys.folder / "one.toml"
+        path.write_text(keys.table("one", "s", []))
+        with Discovery([good.entry()]) as discovery:
+            sidecar = Sidecar([good], discovery, env={"WICKSPREAD_OPERATOR": str(path)})
+            sidecar.command = f'exec {sys.executable} -B -c "$CODE"'
+            sidecar.env["CODE"] = code
+            with sidecar:
+                assert [sidecar.request("POST", "/pay/7", b"x").status for _ in range(5)] == [200] * 5
+                said = [line for line in sidecar.lines if "is told no more" in line]
+                assert len(said) == 1
+                sidecar.lines.clear()  # the traceback is the one that was asked for
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -11,6 +11,7 @@
 
 from wickspread import interface as api
 from wickspread.gossip import files
+from wickspread.gossip.codec import MOST_NAME
 from wickspread.gossip.instance import Address, Instance, Sized, Suspect
 from wickspread.gossip.keys import Keyring
 from wickspread.gossip.transport import Transport, log, wall_us
@@ -62,8 +63,9 @@
         told, engine = self.told, self.engine
         bind = parse_address(told.bind)
         seeds = [parse_address(one) for one in told.seeds]
-        instance = Instance(self.keyring, bind, seeds, random.Random(self.seed), engine.clock.now_us(),
-                            wall_us(), self.born, told.least_instances or engine.settings.instances)
+        dice = random.Random(f"{self.seed} {self.keyring.certificate.name}")
+        instance = Instance(self.keyring, bind, seeds, dice, engine.clock.now_us(), wall_us(), self.born,
+                            told.least_instances or engine.settings.instances)
         self.transport = Transport(instance, engine.clock.now_us, self.take)
         try:
             address = await self.transport.open(bind)
@@ -98,15 +100,20 @@
         return entry.started_us // 1000 if entry is not None else None
 
     def observe(self, upstream: int, outcome: api.Outcome) -> None:
-        """An attempt has ended. On the way of every request: nothing of it may fail or take long."""
+        """An attempt has ended. Hazard: this is on the way of every request; a fault here costs the gossip,
+        never a request."""
         name = self.directory.names.get(upstream)
         entry = self.engine.balancer.entries.get(upstream)
-        if name is None or entry is None or self.transport is None:
+        if name is None or entry is None or self.transport is None or len(name) > MOST_NAME:
             return
-        outputs = self.transport.instance.attempt(name, entry.started_us // 1000, outcome,
-                                                  self.engine.clock.now_us(), wall_us())
-        if outputs:
-            self.transport.perform(outputs)
+        try:
+            outputs = self.transport.instance.attempt(name, entry.started_us // 1000, outcome,
+                                                      self.engine.clock.now_us(), wall_us())
+            if outputs:
+                self.transport.perform(outputs)
+        except Exception:
+            self.engine.observe = None
+            log.exception("gossip: what this sidecar sees is told no more")
 
     def take(self, one: Suspect | Sized) -> None:
         if isinstance(one, Sized):
