--- a/tests/test_suspected.py
+++ b/tests/test_suspected.py
@@ -82,6 +82,17 @@
     assert one.sends(request)[0].upstream == first
 
 
+def test_where_most_are_suspected_most_are_used_as_before() -> None:
+    """Hazard: one bad second of a network would close a fleet's every upstream at every sidecar."""
+    one = world(instances=4)
+    for number in range(6):
+        one.tell(Suspected(100 + number, 1.0))
+    assert [server.kept > 0.0 for server in one.balancer.servers.values()].count(True) == 1
+    one.tell(Suspected(100, 0.0))
+    one.tell(Suspected(101, 1.0))
+    assert one.balancer.servers[101].kept
+
+
 def test_hearsay_opens_nothing_that_own_experience_has_closed() -> None:
     one = world(instances=50)
     server = one.balancer.servers[BAD]
--- a/wickspread/balance.py
+++ b/wickspread/balance.py
@@ -319,7 +319,10 @@
         answer ends it, and who has had one lately does not listen."""
         if weight < BELIEVED:
             self.absolve(server)
-        elif not server.kept and not (server.well_us and self.now_us - server.well_us < FRESH_US):
+        elif server.kept or (server.well_us and self.now_us - server.well_us < FRESH_US):
+            return
+        elif sum(one.kept > 0.0 for one in self.servers.values()) < max(1, len(self.fleet.warm) // 4):
+            # hazard: what all see of all is no upstream's fault; held to trials, none would be left
             server.kept = server.slots.window
             server.slots.window = min(server.slots.window, TRIAL)
             self.rest_before_trial(server)
