A stand-in of etcd that is away keeps its port, which others took meanwhile

Cause: the first whole run had test_etcd_is_away... fail: at its return the member could not listen, as its port had become some connection's meanwhile (EADDRINUSE in the log). Change: a second socket is bound to the port for as long as the member lives, and never listens.

--- a/wickspread/lab/etcd.py
+++ b/wickspread/lab/etcd.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import bisect
+import socket
 import ssl
 from dataclasses import dataclass, field
 from typing import Any
@@ -186,13 +187,19 @@
         self.watchers: list[Watcher] = []
         self.peers: set[MemberPeer] = set()
         self.server: asyncio.Server | None = None
+        self.held: socket.socket | None = None  # bound to its port and never listening
         self.address = ""
         store.members.append(self)
 
     async def serve(self, port: int = 0, tls: ssl.SSLContext | None = None) -> str:
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: MemberPeer(self), "127.0.0.1", port, ssl=tls)
-        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        listener = bound(port)
+        port = listener.getsockname()[1]
+        if self.held is None:
+            # hazard: while it is away its port would be anybody's, and often is on a busy machine
+            self.held = bound(port)
+        self.server = await loop.create_server(lambda: MemberPeer(self), sock=listener, ssl=tls)
+        self.address = f"127.0.0.1:{port}"
         return self.address
 
     def stop(self) -> None:
@@ -240,6 +247,14 @@
                 fragment=at + size < len(events)))
 
 
+def bound(port: int) -> socket.socket:
+    """A socket on that port, beside others that don't listen there."""
+    one = socket.socket()
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    one.bind(("127.0.0.1", port))
+    return one
+
+
 class MemberPeer(Http2Peer):
     """One client's connection."""
 
