Gossip: one way to move, to open what is sealed and to listen for the owner alone

Read once more: where an instance is heard was set in three places (sidecar, lab, tests), packets and exchanges were sealed, opened and decoded by twins, the socket for the owner alone was opened twice (members, gossip). Each is one piece now. For each packet all rumours were sorted to take six: heapq.nsmallest; a tick looked at its timer twice.

--- a/benchmarks/gossip_parts.py
+++ b/benchmarks/gossip_parts.py
@@ -75,7 +75,7 @@
     size, writes, reads = protobuf()
     print("a bulletin of 8 nodes: bytes, us to write, us to read (into values)")
     print(f"  MessagePack by msgspec {len(body):>6} {cost_us(lambda: codec.encode(told)):>7.1f} "
-          f"{cost_us(lambda: codec.statement(body)):>7.1f}")
+          f"{cost_us(lambda: codec.read(codec.statements, body)):>7.1f}")
     print(f"  protobuf               {size:>6} {writes:>7.1f} {reads:>7.1f}")
     print(f"  JSON, standard library {len(as_json):>6} {'':>7} {cost_us(lambda: json.loads(as_json)):>7.1f}")
     one, two = keyring(1, fleet), keyring(2, fleet)
--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -34,10 +34,7 @@
     instance = Instance(ring, ("127.0.0.1", 0), seeds, random.Random(number), now_us(), wall_us(),
                         lambda node: 5, floor=1)
     one = Transport(instance, now_us, lambda told: None)
-    instance.address = await one.open(("127.0.0.1", 0))
-    core = instance.core
-    core.own = core.sign(core.alive(core.incarnation))
-    core.spread("alive", core.own)
+    instance.move(await one.open(("127.0.0.1", 0)))
     one.start()
     return one
 
--- a/wickspread/gossip/codec.py
+++ b/wickspread/gossip/codec.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 from msgspec import Meta
@@ -132,6 +132,9 @@
     statements: Annotated[list[Signed], Meta(max_length=5000)]
 
 
+Form = TypeVar("Form")
+
+
 class CodecError(ValueError):
     """Not of this form; one line."""
 
@@ -154,26 +157,10 @@
     return MAGIC + signature + payload
 
 
-def packet(payload: bytes) -> Packet:
-    """Raises CodecError."""
-    try:
-        return packets.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise CodecError(" ".join(str(error).split())[:100]) from error
-
-
-def state(payload: bytes) -> State:
-    """Raises CodecError."""
-    try:
-        return states.decode(payload)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise CodecError(" ".join(str(error).split())[:100]) from error
-
-
-def statement(body: bytes) -> Statement:
-    """Raises CodecError."""
+def read(decoder: msgspec.msgpack.Decoder[Form], data: bytes) -> Form:
+    """By one of the decoders above. Raises CodecError."""
     try:
-        return statements.decode(body)
+        return decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise CodecError(" ".join(str(error).split())[:100]) from error
 
--- a/wickspread/gossip/core.py
+++ b/wickspread/gossip/core.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+import heapq
 import math
 import random
 from collections import Counter, OrderedDict
@@ -448,7 +449,7 @@
             chosen.append(self.sign(Accusation(peer.name, peer.incarnation)))
         most = max(1, int(TOLD * math.ceil(math.log2(len(self.peers) + 2))))
         room = ROOM
-        for key, rumour in sorted(self.rumours.items(), key=times_told):
+        for key, rumour in heapq.nsmallest(RUMOURS + 1, self.rumours.items(), key=times_told):
             told = rumour.told
             room -= size_of(told)
             if room < 0 or len(chosen) >= RUMOURS:
--- a/wickspread/gossip/instance.py
+++ b/wickspread/gossip/instance.py
@@ -104,6 +104,12 @@
     def alive(self, incarnation: int) -> Alive:
         return Alive(*self.address, incarnation, self.keyring.certificate)
 
+    def move(self, address: Address) -> None:
+        """Where we are heard is known only once a socket is open, if the port was left to the system."""
+        self.address = address
+        self.core.own = self.sign(self.alive(self.core.incarnation))
+        self.core.spread("alive", self.core.own)
+
     @property
     def due_us(self) -> int:
         times = [self.core.due_us, self.look_us]
--- a/wickspread/gossip/keys.py
+++ b/wickspread/gossip/keys.py
@@ -9,13 +9,16 @@
 import ipaddress
 from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
+from typing import TypeVar
 
+from msgspec.msgpack import Decoder
 from nacl.exceptions import BadSignatureError
 from nacl.signing import SigningKey, VerifyKey
 
 from wickspread.gossip import codec
 from wickspread.gossip.codec import Certificate, Packet, Signed, State, Statement
 
+Sealed = TypeVar("Sealed", Packet, State)
 SKEW_US = 60_000_000  # clocks are no further apart, trips among them
 REORDER_US = 2_000_000  # of one author's packets
 MOST_RECENT = 256  # sequences kept of one author
@@ -90,38 +93,31 @@
         return Signed(name, at_us, body, signature)
 
     def seal(self, message: codec.Message, rumours: list[Signed], wall_us: int) -> bytes:
-        payload = codec.encode(Packet(self.certificate, self.stamp(wall_us), message, rumours))
-        return codec.closed(self.key.sign(payload).signature, payload)
+        return self.sealed(Packet(self.certificate, self.stamp(wall_us), message, rumours))
 
     def seal_state(self, statements: list[Signed], wall_us: int) -> bytes:
-        payload = codec.encode(State(self.certificate, self.stamp(wall_us), statements))
+        return self.sealed(State(self.certificate, self.stamp(wall_us), statements))
+
+    def sealed(self, told: Packet | State) -> bytes:
+        payload = codec.encode(told)
         return codec.closed(self.key.sign(payload).signature, payload)
 
     # What we hear. All raise Refused.
 
     def packet(self, data: bytes, now_us: int, wall_us: int) -> Packet:
-        signature, payload = self.opened(data, codec.MOST_PACKET)
-        try:
-            found = codec.packet(payload)
-        except codec.CodecError as error:
-            raise Refused("malformed") from error
-        self.admit(found.certificate, found.at_us, signature, payload, now_us, wall_us)
-        return found
+        return self.opened(codec.packets, data, codec.MOST_PACKET, now_us, wall_us)
 
     def state(self, data: bytes, now_us: int, wall_us: int) -> State:
-        signature, payload = self.opened(data, codec.MOST_STATE)
-        try:
-            found = codec.state(payload)
-        except codec.CodecError as error:
-            raise Refused("malformed") from error
-        self.admit(found.certificate, found.at_us, signature, payload, now_us, wall_us)
-        return found
+        return self.opened(codec.states, data, codec.MOST_STATE, now_us, wall_us)
 
-    def opened(self, data: bytes, most: int) -> tuple[bytes, bytes]:
+    def opened(self, decoder: Decoder[Sealed], data: bytes, most: int, now_us: int, wall_us: int) -> Sealed:
         try:
-            return codec.opened(data, most)
+            signature, payload = codec.opened(data, most)
         except codec.CodecError as error:
             raise Refused("not of this version") from error
+        found = read(decoder, payload)
+        self.admit(found.certificate, found.at_us, signature, payload, now_us, wall_us)
+        return found
 
     def admit(self, certificate: Certificate, at_us: int, signature: bytes, payload: bytes, now_us: int,
               wall_us: int) -> None:
@@ -175,10 +171,7 @@
         heard of. Its own Alive brings one."""
         if told.at_us > wall_us + SKEW_US:
             raise Refused("another time")
-        try:
-            found = codec.statement(told.body)
-        except codec.CodecError as error:
-            raise Refused("malformed") from error
+        found = read(codec.statements, told.body)
         if isinstance(found, codec.Alive) and not is_literal(found.host):
             raise Refused("malformed")  # hazard: a name would be looked up by whoever sends to it
         certificate = found.certificate if isinstance(found, codec.Alive) else known
@@ -196,6 +189,14 @@
         self.revoked = frozenset(revoked)
 
 
+def read(decoder: Decoder[codec.Form], data: bytes) -> codec.Form:
+    """Raises Refused."""
+    try:
+        return codec.read(decoder, data)
+    except codec.CodecError as error:
+        raise Refused("malformed") from error
+
+
 def is_literal(host: str) -> bool:
     """An address of its own, as digits."""
     try:
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -12,10 +12,10 @@
 from wickspread import interface as api
 from wickspread.gossip import files
 from wickspread.gossip.codec import MOST_NAME
-from wickspread.gossip.instance import Address, Instance, Sized, Suspect
+from wickspread.gossip.instance import Instance, Sized, Suspect
 from wickspread.gossip.keys import Keyring
 from wickspread.gossip.transport import Transport, log, wall_us
-from wickspread.membership.show import clear
+from wickspread.membership.show import listen
 from wickspread.operator.file import Gossip, OperatorError
 from wickspread.sidecar.config import parse_address
 from wickspread.sidecar.engine import Engine
@@ -71,15 +71,10 @@
             address = await self.transport.open(bind)
         except OSError as error:
             raise OperatorError(f"gossip.bind: {error}") from error
-        self.move(instance, parse_address(told.advertise) if told.advertise else address)
+        instance.move(parse_address(told.advertise) if told.advertise else address)
         try:
             if told.socket:
-                clear(told.socket)
-                mask = os.umask(0o177)
-                try:
-                    self.window = await asyncio.start_unix_server(self.show, told.socket)
-                finally:
-                    os.umask(mask)
+                self.window = await listen(told.socket, self.show)
         except OSError as error:
             raise OperatorError(f"gossip.socket: {error}") from error
         log.info("gossip: %s of %s is heard at %s:%d", instance.core.name, instance.core.site,
@@ -88,12 +83,6 @@
         self.transport.start()
         self.look()
 
-    def move(self, instance: Instance, address: Address) -> None:
-        """Where we are heard is known only now, if the port was left to the system."""
-        instance.address = address
-        instance.core.own = instance.core.sign(instance.core.alive(instance.core.incarnation))
-        instance.core.spread("alive", instance.core.own)
-
     def born(self, name: str) -> int | None:
         number = self.directory.numbers.get(name)
         entry = self.engine.balancer.entries.get(number) if number is not None else None
--- a/wickspread/gossip/transport.py
+++ b/wickspread/gossip/transport.py
@@ -133,7 +133,6 @@
     def tick(self) -> None:
         self.due_us = 0
         self.perform(self.instance.tick(self.now_us(), wall_us()))
-        self.arm()
 
     def complain(self) -> None:
         """One line a second at most, whatever comes."""
--- a/wickspread/lab/gossip.py
+++ b/wickspread/lab/gossip.py
@@ -59,11 +59,7 @@
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
-        address = await self.transport.open(("127.0.0.1", 0))
-        self.instance.address = address
-        core = self.instance.core
-        core.own = core.sign(core.alive(core.incarnation))
-        core.spread("alive", core.own)
+        self.instance.move(await self.transport.open(("127.0.0.1", 0)))
         self.transport.start()
         self.task = asyncio.get_running_loop().create_task(self.lie())
 
--- a/wickspread/membership/show.py
+++ b/wickspread/membership/show.py
@@ -13,7 +13,7 @@
 import socket
 import stat
 import sys
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from datetime import UTC, datetime
 from typing import Any, TextIO
 
@@ -24,6 +24,9 @@
 MOST_READERS = 4
 
 
+Tell = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
 class Window:
     """The socket, which only its owner may open."""
 
@@ -35,12 +38,7 @@
 
     async def open(self) -> None:
         """Raises OSError: among others where another process listens there."""
-        clear(self.path)
-        mask = os.umask(0o177)  # hazard: set after the bind, the mode would leave a moment for others
-        try:
-            self.server = await asyncio.start_unix_server(self.tell, self.path)
-        finally:
-            os.umask(mask)
+        self.server = await listen(self.path, self.tell)
 
     async def tell(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.readers >= MOST_READERS:
@@ -97,6 +95,17 @@
     writer.write(json.dumps(told).encode() + b"\n")
 
 
+async def listen(path: str, tell: Tell) -> asyncio.Server:
+    """On a socket that only its owner may open. Raises OSError: among others where another process listens
+    there."""
+    clear(path)
+    mask = os.umask(0o177)  # hazard: set after the bind, the mode would leave a moment for others
+    try:
+        return await asyncio.start_unix_server(tell, path)
+    finally:
+        os.umask(mask)
+
+
 def clear(path: str) -> None:
     """A socket that a killed process left is taken away; anything else stays, and the bind fails."""
     with contextlib.suppress(FileNotFoundError):
