Gossip's keys and certificates change without a restart, tested under load

A certificate's end, or a change of the fleet's key, took a restart of every sidecar (twice for the fleet's key, as its second key had to be named). The key, the certificate, the fleet's keys (now one a line of a file) and the revoked are looked at each second and read when they change; files that don't belong together, or are of another name or site, are one log line and what held goes on holding. A new certificate is told with the next incarnation, and what the old keys vouched for is looked at anew. In virtual time twelve instances change keys in three stages while all tell of failing nodes: nobody is lost, each node's silence and return is known in every stage; without the new word of oneself, and without the second look at old certificates, that test fails. Two real sidecars change both kinds of keys under requests, with a spoilt certificate in between.

--- a/tests/gossip/test_core.py
+++ b/tests/gossip/test_core.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import pytest
+from nacl.signing import SigningKey
 
+from wickspread.balance import BELIEVED
 from wickspread.gossip import codec
 from wickspread.gossip.instance import HOLD_US, Census
+from wickspread.gossip.keys import Keyring
 from wickspread.gossip.peers import Life
+from wickspread.interface import Outcome
 from wickspread.lab.flock import Fleet
 
 
@@ -130,6 +134,37 @@
     assert rates[120][0] <= 1.5 * rates[10][0] + 1 and rates[120][1] <= 1.5 * rates[10][1] + 500
 
 
+def test_fleet_and_own_keys_are_changed_under_load_and_nobody_is_lost() -> None:
+    """One instance after another, while all tell of a node that fails and comes back all the time."""
+    fleet = settled(12)
+    old, new = fleet.fleet_key, SigningKey(bytes([8]) * 32)
+    of_old = Keyring(SigningKey((3).to_bytes(32, "big")), fleet.at(3).instance.keyring.certificate, [])
+    stages = [(old, [old, new]), (new, [old, new]), (new, [new])]
+    for stage, (vouched, trusted) in enumerate(stages):
+        for number, member in enumerate(fleet.all()):
+            fleet.renew(member, 1000 + 100 * stage + number, vouched, trusted)
+            for outcome in (Outcome.TIMEOUT, Outcome.TIMEOUT, Outcome.OK) if number % 3 else ():
+                fleet.attempt(member, "n1", outcome)
+            fleet.run(0.7)
+        for one in fleet.all():
+            for _ in range(2):
+                fleet.attempt(one, "n2", Outcome.TIMEOUT)
+        fleet.run(2.0)
+        assert all(one.weights.get("n2", 0.0) >= BELIEVED for one in fleet.all()), f"stage {stage}"
+        for one in fleet.all():
+            fleet.attempt(one, "n2", Outcome.OK)
+        fleet.run(2.0)
+        assert not any(one.weights.get("n2") for one in fleet.all()), f"stage {stage}"
+    assert fleet.counted("deaths") == 0 and fleet.knows_all()
+    first = fleet.at(0).instance
+    was = first.keyring.refused["not of this fleet"]  # the old certificate was good here, once
+    first.receive(of_old.seal(codec.News(), [], fleet.wall_us()), ("h", 1), fleet.now_us, fleet.wall_us())
+    assert first.keyring.refused["not of this fleet"] == was + 1
+    late = fleet.add(50, "s1")  # vouched for by the old key alone
+    fleet.run(20.0)
+    assert not late.instance.core.peers and all("i50" not in one.instance.core.peers for one in fleet.all())
+
+
 def test_the_number_that_shares_falls_late_and_never_below_its_floor() -> None:
     census = Census(floor=4)
     assert [census.count(live, 1) for live in (1, 3, 9)] == [4, 4, 9]
--- a/tests/gossip/test_keys.py
+++ b/tests/gossip/test_keys.py
@@ -84,23 +84,13 @@
     renamed = codec.Certificate(good.serial, "i7", good.site, good.key, good.until_s, good.signature)
     assert refusal(sealed(renamed)) == "not of this fleet"
     own = ring()
-    own.turn_off([2])
+    trusted = [fleet.verify_key.encode()]
+    own.renew(own.key, own.certificate, trusted, [2])
     assert refusal(sealed(good), of=own) == "revoked"
-    own.turn_off([])
+    own.renew(own.key, own.certificate, trusted, [])
     assert own.packet(sealed(good), 0, WALL_US)
 
 
-def test_two_fleet_keys_while_they_are_changed() -> None:
-    new = SigningKey(bytes([8]) * 32)
-    key = SigningKey((1).to_bytes(32, "big"))
-    one = certify(new, 50, "i1", "s0", key.verify_key.encode(), WALL_US // 1_000_000 + 100)
-    data = Keyring(key, one, []).seal(News(), [], WALL_US)
-    assert refusal(data) == "not of this fleet"
-    old = ring()
-    both = Keyring(old.key, old.certificate, [FLEET.fleet_key.verify_key.encode(), new.verify_key.encode()])
-    assert both.packet(data, 0, WALL_US) and both.packet(ONE.seal(News(), [], WALL_US), 0, WALL_US)
-
-
 def test_nobody_speaks_for_another() -> None:
     own = ring()
     told = ONE.sign(Bulletin([Count("n", 1, 9, 9, 0, 0, 0, 9, 0)]), WALL_US)
--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -17,6 +17,7 @@
 import pytest
 
 from tests.sockets import LONG_S, ROOT, Discovery, Sidecar, Upstream, eventually
+from wickspread.gossip import files
 from wickspread.gossip import transport as sockets
 from wickspread.gossip.command import main
 from wickspread.gossip.instance import Instance
@@ -173,6 +174,36 @@
                 eventually(lambda: " revoked" in members(keys, "one").splitlines()[-1])
 
 
+def trusts(one: Sidecar, count: int) -> bool:
+    return any(f"{count} fleet keys" in line for line in one.lines)
+
+
+def test_a_certificate_under_a_new_fleet_key_holds_without_a_restart_and_the_old_key_ends() -> None:
+    with tempfile.TemporaryDirectory() as folder, Upstream(b"ok") as good:
+        keys, old, new = Keys(folder), f"{folder}/fleet.pub", f"{folder}/new"
+        main(["keygen", new])
+        with gossiping([good], keys, "one", []) as one:
+            seed = eventually(lambda: [line.split()[-1] for line in one.lines if " is heard at " in line])
+            with gossiping([good], keys, "two", seed) as two:
+                eventually(lambda: "two  alive" in members(keys, "one"))
+                both = Path(old).read_text().strip() + "\n" + Path(new + ".pub").read_text()
+                files.put(old, both, replace=True)
+                eventually(lambda: trusts(one, 2) and trusts(two, 2))
+                files.put(f"{folder}/one.cert", "00", replace=True)
+                eventually(lambda: any("goes on holding" in line for line in one.lines))
+                for number, name in enumerate(("one", "two")):
+                    assert main(["keygen", f"{folder}/{name}2"]) == 0
+                    os.replace(f"{folder}/{name}2", f"{folder}/{name}.key")  # before its certificate
+                    assert main(["certify", new, f"{folder}/{name}2.pub", name, "s", f"{folder}/{name}.cert",
+                                 "--serial", str(100 + number), "--replace"]) == 0
+                    assert [side.request("POST", "/pay/7", b"x").status for side in (one, two)] == [200, 200]
+                eventually(lambda: "serial 101" in members(keys, "one"))
+                eventually(lambda: "serial 100" in members(keys, "two"))
+                files.put(old, Path(new + ".pub").read_text(), replace=True)
+                eventually(lambda: trusts(one, 1) and trusts(two, 1))
+                assert "two  alive" in members(keys, "one")
+
+
 def test_keys_from_first_to_last(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     fleet, own, cert = str(tmp_path / "fleet"), str(tmp_path / "own"), str(tmp_path / "own.cert")
     assert main(["keygen", fleet]) == main(["keygen", own]) == 0
--- a/wickspread/gossip/command.py
+++ b/wickspread/gossip/command.py
@@ -32,7 +32,7 @@
     one = certify(fleet, serial, told.name, told.site, key, int(time.time()) + told.days * DAY_S)
     data = codec.encode(one)
     codec.certificates.decode(data)  # a name that no peer would take is told now
-    files.put(told.out, data.hex() + "\n")
+    files.put(told.out, data.hex() + "\n", replace=told.replace)
     print(f"{told.out}: {told.name} of {told.site}, serial {serial}, for {told.days} days")
     return 0
 
@@ -88,6 +88,7 @@
     one.add_argument("out")
     one.add_argument("--days", type=int, default=90)
     one.add_argument("--serial", type=int, default=0)
+    one.add_argument("--replace", action="store_true", help="in place of the certificate that is there")
     one.set_defaults(run=certify_key)
     one = commands.add_parser("revoke", help="stop listening to a certificate")
     one.add_argument("list", help="the file that gossip.revoked_file names")
--- a/wickspread/gossip/core.py
+++ b/wickspread/gossip/core.py
@@ -340,11 +340,9 @@
     def on_accusation(self, told: Signed, said: Accusation, now_us: int) -> list[Action]:
         if said.subject == self.name:
             if said.incarnation == self.incarnation and self.incarnation < MOST_WHOLE:
-                self.incarnation += 1
-                self.own = self.sign(self.alive(self.incarnation))
                 self.health = min(HEALTH, self.health + 1)  # we may have been slow (Lifeguard)
                 self.counts["refutations"] += 1
-                self.spread("alive", self.own)
+                self.renewed()
             return []
         peer = self.peers.get(said.subject)
         if peer is None or said.incarnation != peer.incarnation or told.author in peer.accusers:
@@ -355,6 +353,12 @@
             self.spread("accusation", told, told.author, peer.name)
         return []
 
+    def renewed(self) -> None:
+        """A word of ourselves that stands above the last."""
+        self.incarnation = min(MOST_WHOLE, self.incarnation + 1)
+        self.own = self.sign(self.alive(self.incarnation))
+        self.spread("alive", self.own)
+
     def accuse(self, peer: Peer, by: str, now_us: int) -> None:
         peer.accusers.add(by)
         if peer.life is Life.ALIVE:
--- a/wickspread/gossip/files.py
+++ b/wickspread/gossip/files.py
@@ -13,6 +13,7 @@
 from wickspread.gossip.codec import Certificate
 
 MOST_BYTES = 1024 * 1024
+MOST_KEYS = 4  # of a fleet: each costs a verification for a certificate that is of none
 
 
 class FileError(Exception):
@@ -59,6 +60,17 @@
     return key
 
 
+def publics(path: str) -> list[bytes]:
+    """Of a fleet, one a line: two while they are changed. Raises FileError."""
+    try:
+        keys = [bytes.fromhex(line) for line in text_of(path).split()]
+    except ValueError as error:
+        raise FileError(f"{path}: expected hexadecimal digits") from error
+    if not 1 <= len(keys) <= MOST_KEYS or any(len(key) != 32 for key in keys):
+        raise FileError(f"{path}: expected public keys, 64 hexadecimal digits a line, {MOST_KEYS} at most")
+    return keys
+
+
 def certificate(path: str) -> Certificate:
     """Raises FileError."""
     try:
@@ -78,8 +90,8 @@
         raise FileError(f"{path}: expected a serial a line: {error}") from error
 
 
-def put(path: str, text: str, secret: bool = False) -> None:
-    """A new file, whole or not at all; one that is there stays. Raises FileError."""
+def put(path: str, text: str, secret: bool = False, replace: bool = False) -> None:
+    """A new file, whole or not at all; one that is there stays unless `replace` says so. Raises FileError."""
     part = f"{path}.part"
     try:
         with contextlib.suppress(FileNotFoundError):
@@ -87,8 +99,11 @@
         handle = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600 if secret else 0o644)
         with os.fdopen(handle, "w") as file:
             file.write(text)
-        os.link(part, path)
-        os.unlink(part)
+        if replace:
+            os.replace(part, path)
+        else:
+            os.link(part, path)
+            os.unlink(part)
     except FileExistsError as error:
         Path(part).unlink(missing_ok=True)
         raise FileError(f"{path}: it is there already") from error
--- a/wickspread/gossip/instance.py
+++ b/wickspread/gossip/instance.py
@@ -111,6 +111,13 @@
         self.core.own = self.sign(self.alive(self.core.incarnation))
         self.core.spread("alive", self.core.own)
 
+    def renewed(self, now_us: int, wall_us: int) -> list[Output]:
+        """Our certificate is another one: the others must have it before they can believe what we sign."""
+        self.wall_us = wall_us
+        self.core.renewed()
+        self.unsaid, self.publish_us = bool(self.own.nodes), now_us
+        return self.publish(now_us, wall_us)
+
     @property
     def due_us(self) -> int:
         times = [self.core.due_us, self.look_us]
--- a/wickspread/gossip/keys.py
+++ b/wickspread/gossip/keys.py
@@ -184,9 +184,12 @@
                     now_us)
         return found
 
-    def turn_off(self, revoked: Iterable[int]) -> None:
-        """The list of revoked serials, in place of the last."""
-        self.revoked = frozenset(revoked)
+    def renew(self, key: SigningKey, certificate: Certificate, fleet: Iterable[bytes],
+              revoked: Iterable[int]) -> None:
+        """In place of what held so far. What the old fleet keys vouched for is looked at anew."""
+        self.key, self.certificate, self.revoked = key, certificate, frozenset(revoked)
+        self.fleet = [VerifyKey(one) for one in fleet]
+        self.good.clear()
 
 
 def read(decoder: Decoder[codec.Form], data: bytes) -> codec.Form:
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -10,8 +10,9 @@
 from typing import Any
 
 from wickspread import interface as api
-from wickspread.gossip import files
 from wickspread.gossip.codec import MOST_NAME
+from wickspread.gossip.credentials import Credentials, Watch
+from wickspread.gossip.files import FileError
 from wickspread.gossip.instance import Instance, Sized, Suspect
 from wickspread.gossip.keys import Keyring
 from wickspread.gossip.transport import Transport, log, wall_us
@@ -21,7 +22,7 @@
 from wickspread.sidecar.engine import Engine
 from wickspread.sidecar.listing import Directory
 
-LOOK_S = 1.0  # between looks at the list of the revoked
+LOOK_S = 1.0  # between looks at the files
 TIMEOUT_S = 5.0  # for a reader of the window
 
 
@@ -35,28 +36,14 @@
         self.directory = directory
         self.seed = seed
         try:
-            key = files.private(told.key_file)
-            certificate = files.certificate(told.certificate_file)
-            fleet = [files.public(path) for path in told.fleet_keys]
-            self.keyring = Keyring(key, certificate, fleet, self.revoked())
-        except files.FileError as error:
+            self.files = Watch(told)
+        except FileError as error:
             raise OperatorError(f"gossip: {error}") from error
-        if key.verify_key.encode() != certificate.key:
-            raise OperatorError("gossip.certificate_file: it is not of the key in gossip.key_file")
+        now = self.files.now
+        self.keyring = Keyring(now.key, now.certificate, now.fleet, now.revoked)
         self.transport: Transport | None = None
         self.window: asyncio.Server | None = None
         self.watch: asyncio.TimerHandle | None = None
-        self.changed: tuple[int, int] = self.stamp()
-
-    def revoked(self) -> list[int]:
-        return files.revoked(self.told.revoked_file) if self.told.revoked_file else []
-
-    def stamp(self) -> tuple[int, int]:
-        try:
-            found = os.stat(self.told.revoked_file)
-        except OSError:
-            return 0, 0
-        return found.st_mtime_ns, found.st_size
 
     async def start(self) -> None:
         """Raises OperatorError where an address can't be listened on."""
@@ -113,16 +100,27 @@
             self.engine.tell(api.Suspected(number, one.weight))
 
     def look(self) -> None:
-        """The list of the revoked may have changed."""
-        stamp = self.stamp()
-        if stamp != self.changed:
-            self.changed = stamp
-            try:
-                self.keyring.turn_off(self.revoked())
-            except files.FileError as error:
-                log.warning("gossip: %s", error)
+        """Keys, the certificate or the list of the revoked may have changed."""
+        try:
+            found = self.files.changed()
+            if found is not None:
+                self.renew(found)
+        except FileError as error:
+            log.warning("gossip: what held goes on holding: %s", error)
+        line = self.files.ends(wall_us() / 1e6)
+        if line:
+            log.warning("gossip: %s", line)
         self.watch = self.engine.loop.call_later(LOOK_S, self.look)
 
+    def renew(self, found: Credentials) -> None:
+        assert self.transport is not None
+        same = found.certificate == self.keyring.certificate
+        self.keyring.renew(found.key, found.certificate, found.fleet, found.revoked)
+        log.info("gossip: certificate %d, %d fleet keys, %d revoked from now on", found.certificate.serial,
+                 len(found.fleet), len(found.revoked))
+        if not same:
+            self.transport.perform(self.transport.instance.renewed(self.engine.clock.now_us(), wall_us()))
+
     # For people
 
     def described(self) -> dict[str, Any]:
@@ -131,6 +129,7 @@
         core = instance.core
         return {
             "name": core.name, "site": core.site, "address": list(instance.address),
+            "serial": self.keyring.certificate.serial, "until_s": self.keyring.certificate.until_s,
             "incarnation": core.incarnation, "health": core.health, "instances": instance.sized.instances,
             "peers": [{"name": one.name, "site": one.site, "address": list(one.address),
                        "life": one.life.value, "accusers": sorted(one.accusers),
--- a/wickspread/lab/flock.py
+++ b/wickspread/lab/flock.py
@@ -97,6 +97,14 @@
         self.arm(member)
         return member
 
+    def renew(self, member: Member, number: int, vouched: SigningKey, trusted: list[SigningKey]) -> None:
+        """A new key for it, vouched for by that fleet key; it believes what those have vouched for."""
+        old, key = member.instance.keyring.certificate, SigningKey(number.to_bytes(32, "big"))
+        until_s = WALL_US // 1_000_000 + 86_400
+        one = certify(vouched, number, old.name, old.site, key.verify_key.encode(), until_s)
+        member.instance.keyring.renew(key, one, [each.verify_key.encode() for each in trusted], [])
+        self.perform(member, member.instance.renewed(self.now_us, self.wall_us(member.clock_us)))
+
     def wall_us(self, off_us: int = 0) -> int:
         return WALL_US + self.now_us + off_us
 
--- a/wickspread/operator/file.py
+++ b/wickspread/operator/file.py
@@ -76,7 +76,7 @@
     seeds: tuple[str, ...] = ()  # HOST:PORT of some others
     key_file: str = ""  # its private key
     certificate_file: str = ""  # the fleet's word for it
-    fleet_keys: tuple[str, ...] = ()  # files of the fleet's public keys: one, or two while they are changed
+    fleet_keys: tuple[str, ...] = ()  # files of the fleet's public keys, one a line
     revoked_file: str = ""  # serials that are not listened to; read again when it changes
     socket: str = ""  # where `gossip members` asks, a path on this machine; "" = nowhere
     least_instances: int = within(0, 0, 100_000)  # never fewer to the decisions; 0 = the settings' number
