Rooms for the decisions and the simulator; a peer that speaks on is passed on now and then

The decisions and the simulator's adapter lay loose at the root, and the sidecar read its settings through the simulator's wire. They are rooms now: decisions (with the settings' parser) imports nothing of the house, simulator imports decisions.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -19,8 +19,8 @@
 from pathlib import Path
 from typing import Any
 
-from wickspread import interface as api
-from wickspread.balance import Balancer
+from wickspread.decisions import interface as api
+from wickspread.decisions.balance import Balancer
 
 SIZES = (4, 16, 64, 256, 1000, 10_000)
 START_US = 1_000_000_000
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from wickspread.decisions.settings import parse_settings
 from wickspread.lab.capacity import Machine
 from wickspread.lab.checker import table
 from wickspread.lab.nodes import address_of
@@ -23,7 +24,6 @@
 from wickspread.sidecar.engine import Clock, Engine
 from wickspread.sidecar.listing import Directory
 from wickspread.sidecar.upstream import Pool
-from wickspread.wire import parse_settings
 
 
 async def connections(plan: Plan) -> None:
--- a/benchmarks/gossip_parts.py
+++ b/benchmarks/gossip_parts.py
@@ -18,12 +18,12 @@
 from google.protobuf import descriptor_pb2, descriptor_pool, message_factory
 from nacl.signing import SigningKey
 
+from wickspread.decisions.interface import Outcome
 from wickspread.gossip import codec
 from wickspread.gossip.codec import Bulletin, Count, News
 from wickspread.gossip.evidence import Combiner
 from wickspread.gossip.instance import Instance
 from wickspread.gossip.keys import Budget, Keyring, certify
-from wickspread.interface import Outcome
 
 WALL_US = 1_796_000_000_000_000
 FIELDS = Count.__struct_fields__
--- a/benchmarks/gossip_scale.py
+++ b/benchmarks/gossip_scale.py
@@ -14,7 +14,7 @@
 import sys
 import time
 
-from wickspread.interface import Outcome
+from wickspread.decisions.interface import Outcome
 from wickspread.lab.flock import Fleet
 
 SITES = 5
@@ -39,6 +39,7 @@
     if heard:
         found["half after, s"] = heard[len(heard) // 2]
         found["99 in 100 after, s"] = heard[int(0.99 * len(heard))]
+    fleet.run(12.0)  # what was told of the node has faded
     for one in fleet.all():
         one.instance.core.rumours.clear()  # those of the start go on for a while: n of them, log n times each
     before = [one.instance.counts.copy() for one in fleet.all()]
--- a/benchmarks/grpc.py
+++ b/benchmarks/grpc.py
@@ -15,7 +15,7 @@
 import tempfile
 from typing import Any
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc.message import framed
 from wickspread.http2.connection import DataReceived, Event, Limits
 from wickspread.http2.guard import Rates
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -21,7 +21,7 @@
 import uvloop
 
 from benchmarks.decisions import settings
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.engine import Clock, Engine
 from wickspread.sidecar.listing import Directory
 from wickspread.sidecar.upstream import Pool
--- a/benchmarks/same.py
+++ b/benchmarks/same.py
@@ -18,8 +18,8 @@
 from pathlib import Path
 
 from wickspread import compiled
-from wickspread import interface as api
-from wickspread.balance import Balancer
+from wickspread.decisions import interface as api
+from wickspread.decisions.balance import Balancer
 
 ROOT = Path(__file__).resolve().parent.parent
 START_US = 1_000_000_000_000
--- a/tests/gossip/test_core.py
+++ b/tests/gossip/test_core.py
@@ -5,12 +5,12 @@
 import pytest
 from nacl.signing import SigningKey
 
-from wickspread.balance import BELIEVED
+from wickspread.decisions.balance import BELIEVED
+from wickspread.decisions.interface import Outcome
 from wickspread.gossip import codec
 from wickspread.gossip.instance import HOLD_US, Census
 from wickspread.gossip.keys import Keyring
 from wickspread.gossip.peers import Life
-from wickspread.interface import Outcome
 from wickspread.lab.flock import Fleet
 
 
--- a/tests/gossip/test_evidence.py
+++ b/tests/gossip/test_evidence.py
@@ -5,11 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wickspread.balance import BELIEVED
+from wickspread.decisions.balance import BELIEVED
+from wickspread.decisions.interface import Outcome
 from wickspread.gossip.codec import MOST_COUNTS, MOST_NAME, MOST_WHOLE, Bulletin, Count, Signed, encode
 from wickspread.gossip.evidence import WINDOW_US, Combiner, Own, tolerated, trimmed
 from wickspread.gossip.rumours import ROOM, size_of
-from wickspread.interface import Outcome
 from wickspread.lab.flock import BORN_MS, Fleet
 
 NOW_US = 100_000_000
--- a/tests/gossip/test_peers.py
+++ b/tests/gossip/test_peers.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections import Counter
+from itertools import pairwise
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wickspread.gossip.codec import Certificate, Signed
-from wickspread.gossip.peers import Life, Peer, Peers
+from wickspread.gossip.peers import URGENT_BURST, URGENT_EACH_US, URGENT_GAP_US, Life, Peer, Peers
 from wickspread.gossip.rumours import ROOM, Rumours, size_of
 
 NAMES = st.sampled_from("abcdef")
@@ -56,3 +57,19 @@
         assert whole[(chosen[0].author,)].times == least // 2 + 1
         told.update(chosen)
     assert told == Counter({one.told: times for one in whole.values()})
+
+
+@given(st.lists(st.integers(0, 3_000_000), max_size=60))
+def test_who_speaks_without_end_is_passed_on_at_once_a_few_times_and_then_now_and_then(gaps: list[int]) -> None:
+    one = Peer("a", "s", ("h", 1), 1, Certificate(1, "a", "s", bytes(32), 1, bytes(64)), signed("a"))
+    now_us, passed = 1_000_000_000, list[int]()
+    for gap_us in gaps:
+        now_us += gap_us
+        assert one.next_urgent_us(now_us) - now_us <= URGENT_EACH_US  # what waits has its turn
+        if now_us >= one.next_urgent_us(now_us):
+            one.urgent(now_us)
+            passed.append(now_us)
+    assert all(two - first >= URGENT_GAP_US for first, two in pairwise(passed))
+    for index, at_us in enumerate(passed):
+        later = sum(at_us <= other < at_us + 20_000_000 for other in passed[index:])
+        assert later <= URGENT_BURST + 20_000_000 // URGENT_EACH_US
--- a/tests/grpc/rig.py
+++ b/tests/grpc/rig.py
@@ -11,7 +11,7 @@
 from tests.http2.frames import frames
 from tests.test_engine import Decisions, NoDiscovery
 from tests.world import settings
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc.message import framed
 from wickspread.grpc.start import start
 from wickspread.http2.connection import (
--- a/tests/grpc/test_front.py
+++ b/tests/grpc/test_front.py
@@ -22,7 +22,7 @@
     WINDOW,
     frame,
 )
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc import health
 from wickspread.grpc.health import HealthError, Serving, service_of
 from wickspread.grpc.message import framed
--- a/tests/grpc/test_hard_cases.py
+++ b/tests/grpc/test_hard_cases.py
@@ -19,7 +19,7 @@
     SETTINGS,
     frame,
 )
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc.message import framed
 from wickspread.grpc.status import Code
 from wickspread.http2.connection import DataReceived, Limits, StreamReset
--- a/tests/membership/test_etcd.py
+++ b/tests/membership/test_etcd.py
@@ -15,7 +15,7 @@
 
 from tests.membership.test_follower import value
 from tests.sockets import LONG_S
-from wickspread.interface import UpstreamState
+from wickspread.decisions.interface import UpstreamState
 from wickspread.lab.etcd import Member, Store, cluster
 from wickspread.lab.ledger import now_us
 from wickspread.membership.etcd.follower import Follower
--- a/tests/membership/test_merge.py
+++ b/tests/membership/test_merge.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from wickspread.interface import UpstreamState
+from wickspread.decisions.interface import UpstreamState
 from wickspread.membership.merge import Merge
 from wickspread.membership.model import Entry, EntryError, parse
 
--- a/tests/operations/test_remembered.py
+++ b/tests/operations/test_remembered.py
@@ -17,8 +17,8 @@
 from tests.sockets import answer, eventually
 from tests.world import START_US, upstreams
 from tests.world import settings as world_settings
-from wickspread.balance import Balancer
-from wickspread.interface import (
+from wickspread.decisions.balance import Balancer
+from wickspread.decisions.interface import (
     AttemptEnded,
     Learnt,
     LearntUpstream,
--- a/tests/operations/test_upgrade.py
+++ b/tests/operations/test_upgrade.py
@@ -16,7 +16,7 @@
 
 from tests.operations.rig import Doored
 from tests.sockets import LONG_S, Client, Discovery, Message, Upstream, answer, eventually
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.upstream import Exchange, Host, Pool
 
 
--- a/tests/plain.py
+++ b/tests/plain.py
@@ -5,8 +5,8 @@
 import math
 from collections import Counter
 
-from wickspread.fleet import FEW, Fleet, Server
-from wickspread.interface import UpstreamState
+from wickspread.decisions.fleet import FEW, Fleet, Server
+from wickspread.decisions.interface import UpstreamState
 
 ASKED = 3
 
--- a/tests/test_calm.py
+++ b/tests/test_calm.py
@@ -5,8 +5,8 @@
 import pytest
 
 from tests.world import START_US, World, settings, upstreams
-from wickspread.balance import Balancer
-from wickspread.interface import (
+from wickspread.decisions.balance import Balancer
+from wickspread.decisions.interface import (
     AttemptEnded,
     Fail,
     Outcome,
@@ -20,7 +20,7 @@
     TimerFired,
     UpstreamsUpdated,
 )
-from wickspread.interface import ListKind as Kind
+from wickspread.decisions.interface import ListKind as Kind
 
 
 def test_events_about_what_is_unknown_change_nothing() -> None:
--- a/tests/test_compiled.py
+++ b/tests/test_compiled.py
@@ -182,13 +182,14 @@
 
 
 def test_a_fault_in_compiled_decisions_costs_one_request_and_says_where() -> None:
-    code = ("from wickspread import interface as api\nfrom wickspread.balance import Balancer\n"
+    code = ("from wickspread.decisions import interface as api\n"
+            "from wickspread.decisions.balance import Balancer\n"
             "b = Balancer(api.Settings([api.RequestClass('read', 1000, 5000)]), 1, 0)\n"
             "try:\n    b.handle(0, api.RequestArrived(1, 5000, 9))\nexcept IndexError:\n"
             "    import traceback; traceback.print_exc()\n"
             "b.handle(5, api.RequestArrived(2, 5005)); print(len(b.requests) <= 1)")
     lines = ask(ROOT, code)
-    assert any('File "wickspread/balance.py", line ' in line for line in lines) and "True" in lines
+    assert any('File "wickspread/decisions/balance.py", line ' in line for line in lines) and "True" in lines
 
 
 def test_the_sidecar_says_first_which_of_the_two_it_runs() -> None:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,7 @@
 
 from tests.options import OPTIONS
 from tests.sockets import DEPLOY, ROOT, settings
-from wickspread import wire
+from wickspread.decisions.settings import parse_settings
 from wickspread.sidecar import config
 
 GOOD: dict[str, Any] = {"seed": "8c1f", "limits": {"sockets": 512}, "settings": settings()}
@@ -30,7 +30,7 @@
     told = settings(**{"areas": "a,b,c,d", "granularity": "4000"}) | nested
     told["areas"] = ["a", "b", "c", "d"]
     told["bounds"]["cancel"] = True
-    assert wire.parse_settings("\n".join(config.options(told))) == wire.parse_settings(OPTIONS)
+    assert parse_settings("\n".join(config.options(told))) == parse_settings(OPTIONS)
 
 
 def test_a_good_one_is_read(tmp_path: Path) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,7 @@
 
 from tests.sockets import LONG_S, Discovery, Message, Sidecar, Upstream, answer, eventually
 from tests.world import settings
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.discovery import Discovery as Watcher
 from wickspread.sidecar.engine import Clock, Engine
 from wickspread.sidecar.listing import Directory
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from tests.world import settings
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.engine import Call, Clock, Engine
 from wickspread.sidecar.upstream import Answer, Connection, Exchange, Host, Pool
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,9 +14,9 @@
 
 from tests import plain
 from tests.world import START_US, settings
-from wickspread.fleet import COLD_SLOTS, Fleet, Server
-from wickspread.interface import Upstream, UpstreamState
-from wickspread.shelf import BLOCK, Shelf, Sorted
+from wickspread.decisions.fleet import COLD_SLOTS, Fleet, Server
+from wickspread.decisions.interface import Upstream, UpstreamState
+from wickspread.decisions.shelf import BLOCK, Shelf, Sorted
 
 WARM_UP_US = 20_000_000
 DRAWS = 3_000
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -16,7 +16,7 @@
 from tests.sockets import Client, Message, Upstream, answer
 from tests.test_engine import NoDiscovery
 from tests.world import settings
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.engine import Clock, Engine
 from wickspread.sidecar.server import Server
 from wickspread.sidecar.upstream import Host, Pool
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tests.world import START_US, World, settings, upstreams
-from wickspread.interface import (
+from wickspread.decisions.interface import (
     ListKind,
     Outcome,
     SetTimer,
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -14,7 +14,7 @@
 
 from tests.sockets import LONG_S, Discovery, Sidecar, Upstream, eventually
 from tests.world import settings
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.discovery import Call
 from wickspread.sidecar.discovery import Discovery as Watcher
 from wickspread.sidecar.engine import Clock, Engine
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 
 from tests.world import START_US, World, classes, settings, upstreams
-from wickspread.balance import Balancer
-from wickspread.interface import (
+from wickspread.decisions.balance import Balancer
+from wickspread.decisions.interface import (
     AttemptEnded,
     ListKind,
     Outcome,
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.world import World, settings, upstreams
-from wickspread.interface import (
+from wickspread.decisions.interface import (
     Fail,
     Log,
     Outcome,
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -8,14 +8,14 @@
 import pytest
 
 from tests.world import START_US, World, settings
-from wickspread.interface import (
+from wickspread.decisions.interface import (
     CloseIdle,
     ListKind,
     Outcome,
     Upstream,
     UpstreamState,
 )
-from wickspread.subset import SHRINK_US, Subset
+from wickspread.decisions.subset import SHRINK_US, Subset
 
 READ, MARK = 0, 2
 MOST = 40
--- a/tests/test_suspected.py
+++ b/tests/test_suspected.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from tests.world import World, settings, upstreams
-from wickspread.balance import FRESH_US, MOST_TRIAL_US, TRIAL_US
-from wickspread.interface import FleetSized, ListKind, Outcome, Suspected, UpstreamState
+from wickspread.decisions.balance import FRESH_US, MOST_TRIAL_US, TRIAL_US
+from wickspread.decisions.interface import FleetSized, ListKind, Outcome, Suspected, UpstreamState
 
 BAD = 100
 GAP_US = 50_000
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.sockets import LONG_S, Message, Script, Sidecar, Upstream, answer, eventually
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.upstream import Exchange, Host, Pool
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,9 +8,10 @@
 import pytest
 
 from tests.options import OPTIONS
-from wickspread import adapter, wire
-from wickspread import interface as api
-from wickspread.balance import Balancer
+from wickspread.decisions import interface as api
+from wickspread.decisions.balance import Balancer
+from wickspread.decisions.settings import parse_settings
+from wickspread.simulator import adapter, wire
 
 LIST = ("6e 00000000 02000000 074a1203 00 00 0000 01 0000803f 0000000000000000"
         " f211902c 01 00 0000 01 0000c03f 20145d0000000000")
@@ -145,8 +146,8 @@
 
 
 def test_settings_are_read_and_unknown_keys_skipped() -> None:
-    settings = wire.parse_settings(OPTIONS + "brand-new.key=1\nfees.fleet=0.2\n")
-    assert settings == wire.parse_settings(OPTIONS)
+    settings = parse_settings(OPTIONS + "brand-new.key=1\nfees.fleet=0.2\n")
+    assert settings == parse_settings(OPTIONS)
     assert [c.effect for c in settings.classes] == ["idempotent", "at_most_once", "deduplicated"]
     assert settings.classes[2].memory_us == 1_200_000 and settings.classes[2].group == "cell"
     assert settings.tenants[1].allowance_per_s == 152.0 and settings.ask_within_us == 10_000_000
@@ -154,7 +155,7 @@
 
 
 def test_report_names_are_translated_and_unknown_ones_kept() -> None:
-    settings = wire.parse_settings(OPTIONS.replace("report.names=", "report.names=busy,q,moon"))
+    settings = parse_settings(OPTIONS.replace("report.names=", "report.names=busy,q,moon"))
     assert settings.report_names == ["utilization", "queued", "moon"]
 
 
@@ -202,5 +203,5 @@
 
 
 def test_live_weights_are_no_sizes() -> None:
-    assert not wire.parse_settings(OPTIONS.replace("weights=none", "weights=live")).weighted
-    assert wire.parse_settings(OPTIONS.replace("weights=none", "weights=rough")).weighted
+    assert not parse_settings(OPTIONS.replace("weights=none", "weights=live")).weighted
+    assert parse_settings(OPTIONS.replace("weights=none", "weights=rough")).weighted
--- a/tests/world.py
+++ b/tests/world.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from wickspread.balance import Balancer
-from wickspread.interface import (
+from wickspread.decisions.balance import Balancer
+from wickspread.decisions.interface import (
     Action,
     AttemptEnded,
     Cancel,
--- a/wickspread/balance.py
+++ b/wickspread/decisions/balance.py
@@ -1,4 +1,4 @@
-"""All decisions of the balancer. Its interface, types, events and actions: wickspread/interface.py.
+"""All decisions of the balancer. Its interface, types, events and actions: wickspread/decisions/interface.py.
 
 Everything is slots (docs/design.md): a request takes a free slot of a random upstream, waits in the
 ONE buffer when none is free, is refused when the buffer is taken, and is reissued through a slot.
@@ -11,9 +11,9 @@
 from dataclasses import replace
 from functools import partial
 
-from wickspread import interface as api
-from wickspread.fleet import FEW, MOST_SLOTS, Fleet, Server, Slots
-from wickspread.subset import Subset
+from wickspread.decisions import interface as api
+from wickspread.decisions.fleet import FEW, MOST_SLOTS, Fleet, Server, Slots
+from wickspread.decisions.subset import Subset
 
 MOST_AT_FIRST = 8.0  # first slots an upstream, all sidecars together: what a few cores serve within an aim
 LEAST_IN_ALL = 3.0  # first slots of one sidecar at all upstreams: 2 refuse what comes together, 4 crowd
--- a/wickspread/gossip/core.py
+++ b/wickspread/gossip/core.py
@@ -43,7 +43,6 @@
 TOLD = 2.5  # a rumour goes out so many times log2 n (SWIM, 4.1)
 FANOUT = 3  # peers that hear of urgent news at once, and pass what is new on to as many
 LEAST_GAP_US = 80_000  # between two bulletins of one author; more are not heard
-URGENT_GAP_US = 300_000  # between two of one author that are passed on at once
 URGENT_A_SECOND = 60.0  # packets of news that one instance sends
 URGENT_WAIT_US = 10_000  # what comes within it goes on in the same packets
 EXCHANGE_US = 30_000_000  # between exchanges of all that is known
@@ -376,12 +375,12 @@
         heard: list[Action] = [Heard(told.author, peer.site, bulletin)]
         if peer.owed:
             return heard
-        if now_us - peer.urgent_us < URGENT_GAP_US:
+        if now_us < peer.next_urgent_us(now_us):
             # hazard: the second word of a silence, which makes a whole vote, comes right after the first
             peer.owed = True
-            heapq.heappush(self.owed, (peer.urgent_us + URGENT_GAP_US, peer.name))
+            heapq.heappush(self.owed, (peer.next_urgent_us(now_us), peer.name))
             return heard
-        peer.urgent_us = now_us
+        peer.urgent(now_us)
         return heard + self.news(told, now_us, URGENT_WAIT_US)
 
     def pass_on(self, now_us: int) -> list[Action]:
@@ -391,7 +390,8 @@
             _, name = heapq.heappop(self.owed)
             peer, told = self.peers.get(name), self.bulletins.get(name)
             if peer is not None and peer.owed:
-                peer.owed, peer.urgent_us = False, now_us
+                peer.owed = False
+                peer.urgent(now_us)
                 if told is not None:
                     actions += self.news(told, now_us, URGENT_WAIT_US)
         return actions
--- a/wickspread/gossip/peers.py
+++ b/wickspread/gossip/peers.py
@@ -9,6 +9,10 @@
 
 from wickspread.gossip.codec import Certificate, Signed
 
+URGENT_GAP_US = 300_000  # between two of one author that are passed on at once
+URGENT_EACH_US = 2_000_000  # and, once there were as many as the burst
+URGENT_BURST = 4
+
 
 class Life(enum.Enum):
     ALIVE = "alive"
@@ -28,8 +32,20 @@
     since_us: int = 0
     accusers: set[str] = field(default_factory=set)
     urgent_us: int = 0  # when news of it was last passed on at once
+    spent_us: int = 0  # till when what was passed on has used up its share
     owed: bool = False  # more is to be passed on
 
+    def next_urgent_us(self, now_us: int) -> int:
+        """From when news of it may be passed on at once: a few in a row, of who speaks on without end one in
+        a while. The generic cell rate algorithm (ITU-T I.371), with a gap besides."""
+        paced_us = max(self.spent_us, now_us) - (URGENT_BURST - 1) * URGENT_EACH_US
+        return max(self.urgent_us + URGENT_GAP_US, paced_us)
+
+    def urgent(self, now_us: int) -> None:
+        """It is passed on now."""
+        self.urgent_us = now_us
+        self.spent_us = max(self.spent_us, now_us) + URGENT_EACH_US
+
 
 class Peers(dict[str, Peer]):
     """By name. A peer's life and site change here alone."""
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -9,7 +9,7 @@
 import random
 from typing import Any
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.gossip.codec import MOST_NAME
 from wickspread.gossip.credentials import Credentials, Watch
 from wickspread.gossip.files import FileError
--- a/wickspread/grpc/metadata.py
+++ b/wickspread/grpc/metadata.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc.deadline import DeadlineError, format_us, parse_us
 from wickspread.grpc.status import Code
 from wickspread.sidecar.request import ANSWER_MARGIN_US, REQ_ID, cost_us, decimal_us, key_number
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Protocol, cast
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc.message import first_size
 from wickspread.grpc.metadata import Headers, Request, value_of
 from wickspread.grpc.outcome import End, Ended
--- a/wickspread/grpc/probe.py
+++ b/wickspread/grpc/probe.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc import health
 from wickspread.grpc.metadata import Request
 from wickspread.grpc.nodes import Attempt, Nodes
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.grpc.metadata import Headers, Request, answer_headers, retry_after_us
 from wickspread.grpc.outcome import Ended, Verdict, failed, judge, refused
 from wickspread.grpc.status import Code
--- a/wickspread/lab/flock.py
+++ b/wickspread/lab/flock.py
@@ -11,11 +11,11 @@
 
 from nacl.signing import SigningKey
 
-from wickspread.balance import BELIEVED
+from wickspread.decisions.balance import BELIEVED
+from wickspread.decisions.interface import Outcome
 from wickspread.gossip.codec import Certificate
 from wickspread.gossip.instance import Address, Datagram, Exchange, Instance, Output, Sized, Suspect
 from wickspread.gossip.keys import Keyring, Refused, certify
-from wickspread.interface import Outcome
 
 WALL_US = 1_796_000_000_000_000
 TRIP_US = 1_000
--- a/wickspread/membership/etcd/follower.py
+++ b/wickspread/membership/etcd/follower.py
@@ -19,8 +19,8 @@
 from dataclasses import dataclass
 from itertools import groupby
 
+from wickspread.decisions.interface import UpstreamState
 from wickspread.grpc.status import Code
-from wickspread.interface import UpstreamState
 from wickspread.membership.etcd import api_pb2 as pb
 from wickspread.membership.model import Entry, EntryError, parse, short
 
--- a/wickspread/membership/feed.py
+++ b/wickspread/membership/feed.py
@@ -11,7 +11,7 @@
 from dataclasses import replace
 from itertools import islice
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.membership.merge import Merge
 from wickspread.membership.model import Entry
 from wickspread.sidecar.engine import Engine
--- a/wickspread/membership/merge.py
+++ b/wickspread/membership/merge.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 
-from wickspread.interface import UpstreamState
+from wickspread.decisions.interface import UpstreamState
 from wickspread.membership.model import Entry
 
 READY, DRAINING, GONE = UpstreamState.READY, UpstreamState.DRAINING, UpstreamState.GONE
--- a/wickspread/membership/model.py
+++ b/wickspread/membership/model.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wickspread.interface import UpstreamState
+from wickspread.decisions.interface import UpstreamState
 
 MOST_VALUE = 64 * 1024  # bytes of one entry
 MOST_TEXT = 256  # characters of a name, an address, a site
--- a/wickspread/operations/hand.py
+++ b/wickspread/operations/hand.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 from typing import Protocol
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.operations.door import Call, CallError
 from wickspread.operations.handover import Handover
 from wickspread.operations.memory import Memory
--- a/wickspread/operations/memory.py
+++ b/wickspread/operations/memory.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.operations.handover import Handover
 from wickspread.sidecar.engine import Engine
 from wickspread.sidecar.listing import Directory
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/sidecar/__main__.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from wickspread import compiled
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.operations.door import Door
 from wickspread.operations.hand import Hand
 from wickspread.operations.handover import Handover
--- a/wickspread/sidecar/config.py
+++ b/wickspread/sidecar/config.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from wickspread import interface as api
-from wickspread import wire
+from wickspread.decisions import interface as api
+from wickspread.decisions.settings import SettingsError, parse_settings
 
 Address = tuple[str, int]
 
@@ -89,13 +89,13 @@
             seed=int(str(told["seed"]), 16),
             sockets=min(int(limits.get("sockets", 1024)), soft),
             memory_mb=int(limits.get("memory_mb", 192)),
-            settings=wire.parse_settings("\n".join(options(told["settings"]))),
+            settings=parse_settings("\n".join(options(told["settings"]))),
             known=known,
             door=parse_address(door) if door else None,
             accept_fd=int(inherited) if inherited else None,
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error} is missing") from error
-    except (OSError, ValueError, TypeError, AttributeError, wire.WireError, ConfigError) as error:
+    except (OSError, ValueError, TypeError, AttributeError, SettingsError, ConfigError) as error:
         text = " ".join(str(error).split())
         raise ConfigError(text if path in text else f"{path}: {text}") from error
--- a/wickspread/sidecar/discovery.py
+++ b/wickspread/sidecar/discovery.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.collector import Collector
 from wickspread.sidecar.config import Address
 from wickspread.sidecar.listing import SLICE, Directory, ListError, Reading, changes
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/sidecar/engine.py
@@ -15,10 +15,10 @@
 from functools import partial
 from typing import Protocol
 
-from wickspread import interface as api
-from wickspread import wire
-from wickspread.balance import Balancer
-from wickspread.fleet import Server
+from wickspread.decisions import interface as api
+from wickspread.decisions.balance import Balancer
+from wickspread.decisions.fleet import Server
+from wickspread.decisions.settings import check_allowed, parse_report
 from wickspread.operations.figures import Figures
 from wickspread.sidecar.bodies import KEEP, Flow, Opens, Source, Upload
 from wickspread.sidecar.timers import Timer, Timers
@@ -245,7 +245,7 @@
                     self.give_up(action.request)
 
     def perform(self, action: api.Action) -> None:
-        wire.check_allowed(self.settings, action)
+        check_allowed(self.settings, action)
         match action:
             case api.Send():
                 self.send(action)
@@ -331,7 +331,7 @@
         self.tell(api.ProbeEnded(upstream, outcome, self.clock.now_us() - since_us, self.report(load)))
 
     def report(self, text: bytes) -> list[float]:
-        return wire.parse_report(text, self.settings.report_names)
+        return parse_report(text, self.settings.report_names)
 
     # Answers
 
--- a/wickspread/sidecar/listing.py
+++ b/wickspread/sidecar/listing.py
@@ -13,7 +13,7 @@
 from dataclasses import replace
 from typing import Any
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.config import ConfigError, parse_address
 from wickspread.sidecar.upstream import Host
 
--- a/wickspread/sidecar/request.py
+++ b/wickspread/sidecar/request.py
@@ -5,7 +5,7 @@
 import hashlib
 import re
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.bodies import Upload
 from wickspread.sidecar.engine import Call
 from wickspread.sidecar.upstream import HOP_HEADERS, end_to_end
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/sidecar/upstream.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from wickspread import interface as api
+from wickspread.decisions import interface as api
 from wickspread.sidecar.bodies import KEEP, MOST_BODY, Flow, Source, Upload
 from wickspread.sidecar.config import Address
 from wickspread.sidecar.timers import Timer, Timers
--- /dev/null
+++ b/wickspread/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The same decisions on the wire of the simulator."""
--- a/wickspread/adapter.py
+++ b/wickspread/simulator/adapter.py
@@ -5,8 +5,9 @@
 import sys
 from typing import BinaryIO
 
-from wickspread import wire
-from wickspread.balance import Balancer
+from wickspread.decisions.balance import Balancer
+from wickspread.decisions.settings import SettingsError, check_allowed, parse_settings
+from wickspread.simulator import wire
 
 
 def read_exactly(source: BinaryIO, size: int) -> bytes:
@@ -31,7 +32,10 @@
         records: list[bytes] = []
         for instance, event in self.decoder.batch(body, count):
             if isinstance(event, wire.InstanceStarted):
-                settings = wire.parse_settings(event.options)
+                try:
+                    settings = parse_settings(event.options)
+                except SettingsError as error:
+                    raise wire.WireError(str(error)) from error
                 self.instances[instance] = Balancer(settings, event.seed, now_us)
             elif isinstance(event, wire.InstanceStopped):
                 self.instances.pop(instance, None)
@@ -39,7 +43,7 @@
                 try:
                     balancer = self.instances[instance]
                     for action in balancer.handle(now_us, event):
-                        wire.check_allowed(balancer.settings, action)
+                        check_allowed(balancer.settings, action)
                         records.append(wire.encode(instance, action))
                 except Exception as error:  # a bug in the decisions is told on the wire, not hidden
                     text = f"{type(error).__name__}: {error}"
