--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,17 +13,17 @@
 
 import uvloop
 
+from wickspread.daemon.config import options
 from wickspread.decisions.settings import parse_settings
+from wickspread.engine.collector import Collector
+from wickspread.engine.engine import Clock, Engine
+from wickspread.http1.upstream import Pool
 from wickspread.lab.capacity import Machine
 from wickspread.lab.checker import table
 from wickspread.lab.nodes import address_of
 from wickspread.lab.scene import Plan, Scene, settings
-from wickspread.sidecar.collector import Collector
-from wickspread.sidecar.config import options
-from wickspread.sidecar.discovery import Discovery
-from wickspread.sidecar.engine import Clock, Engine
-from wickspread.sidecar.listing import Directory
-from wickspread.sidecar.upstream import Pool
+from wickspread.roster.discovery import Discovery
+from wickspread.roster.listing import Directory
 
 
 async def connections(plan: Plan) -> None:
--- a/benchmarks/grpc.py
+++ b/benchmarks/grpc.py
@@ -222,11 +222,12 @@
 
 async def child() -> None:
     """A sidecar's gRPC side whose decisions send everything on at once, for the memory."""
+    from wickspread.engine.engine import Clock, Engine
+    from wickspread.engine.seams import Host
     from wickspread.grpc.start import start
+    from wickspread.http1.server import Server
+    from wickspread.http1.upstream import Pool
     from wickspread.operator.file import Grpc
-    from wickspread.sidecar.engine import Clock, Engine
-    from wickspread.sidecar.server import Server
-    from wickspread.sidecar.upstream import Host, Pool
 
     class Quiet:
         def subscribe(self, active: bool) -> None: ...
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -22,9 +22,9 @@
 
 from benchmarks.decisions import settings
 from wickspread.decisions import interface as api
-from wickspread.sidecar.engine import Clock, Engine
-from wickspread.sidecar.listing import Directory
-from wickspread.sidecar.upstream import Pool
+from wickspread.engine.engine import Clock, Engine
+from wickspread.http1.upstream import Pool
+from wickspread.roster.listing import Directory
 
 
 def value(number: int, health: str) -> bytes:
--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -132,8 +132,8 @@
                   "known": roster.known(), "settings": settings(plan, 0)}
         module = ["-m", "cProfile", "-o", profile, "-m"] if profile else ["-m"]
         under_test = [Process("passthrough", config, folder, ["-m", "benchmarks.passthrough", "CONFIG"]),
-                      Process("compiled", config, folder, ["-B", *module, "wickspread.sidecar"]),
-                      Process("sources", config, folder, ["-B", "-m", "wickspread.sidecar"])]
+                      Process("compiled", config, folder, ["-B", *module, "wickspread.daemon"]),
+                      Process("sources", config, folder, ["-B", "-m", "wickspread.daemon"])]
         under_test[2].env = {"WICKSPREAD_PURE": "1"}
         costs: dict[str, list[float]] = {one.name: [] for one in under_test}
         statuses: Counter[int] = Counter()
--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -3,7 +3,7 @@
     python -m benchmarks.startup [--rounds 15]
 
 CPU time too, as a machine that is busy says little by the clock. What is imported, one by one:
-`.venv/bin/python -X importtime -c "import wickspread.sidecar.__main__"`.
+`.venv/bin/python -X importtime -c "import wickspread.daemon.__main__"`.
 """
 
 from __future__ import annotations
--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -141,7 +141,7 @@
     path.write_text(keys.table(name, "s", seeds))
     with Discovery([one.entry() for one in roster]) as discovery:
         sidecar = Sidecar(roster, discovery, env={"WICKSPREAD_OPERATOR": str(path)})
-        sidecar.command = f"exec {sys.executable} -B -m wickspread.sidecar"
+        sidecar.command = f"exec {sys.executable} -B -m wickspread.daemon"
         with sidecar:
             yield sidecar
             assert sidecar.stop() == 0
@@ -244,7 +244,7 @@
     env = os.environ | {"PROXY_NAME": "n", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:9",
                         "PROXY_CONFIG": str(tmp_path / "config.json"),
                         "WICKSPREAD_OPERATOR": str(tmp_path / "operator.toml")}
-    done = subprocess.run([sys.executable, "-m", "wickspread.sidecar"], cwd=ROOT, env=env, text=True,
+    done = subprocess.run([sys.executable, "-m", "wickspread.daemon"], cwd=ROOT, env=env, text=True,
                           capture_output=True, timeout=LONG_S)
     assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and line in done.stderr, done.stderr
 
@@ -254,7 +254,7 @@
     code = ("import sys; from wickspread.gossip.instance import Instance\n"
             "def fault(*_): raise RuntimeError('a fault')\n"
             "Instance.attempt = fault\n"
-            "from wickspread.sidecar.__main__ import main; sys.exit(main())")
+            "from wickspread.daemon.__main__ import main; sys.exit(main())")
     with tempfile.TemporaryDirectory() as folder, Upstream(b"ok") as good:
         keys = Keys(folder)
         path = keys.folder / "one.toml"
--- a/tests/grpc/rig.py
+++ b/tests/grpc/rig.py
@@ -12,8 +12,12 @@
 from tests.test_engine import Decisions, NoDiscovery
 from tests.world import settings
 from wickspread.decisions import interface as api
+from wickspread.engine.engine import Clock, Engine
+from wickspread.engine.seams import Host
 from wickspread.grpc.message import framed
 from wickspread.grpc.start import start
+from wickspread.http1.server import Server
+from wickspread.http1.upstream import Pool
 from wickspread.http2.connection import (
     Connection,
     DataReceived,
@@ -27,9 +31,6 @@
 )
 from wickspread.http2.guard import Rates
 from wickspread.operator.file import Grpc
-from wickspread.sidecar.engine import Clock, Engine
-from wickspread.sidecar.server import Server
-from wickspread.sidecar.upstream import Host, Pool
 
 LONG_S = 20.0
 OPEN = Limits(streams=10_000, window=1 << 20, connection_window=1 << 28, header_bytes=1 << 20, unsent=1 << 28,
--- a/tests/http2/test_connection.py
+++ b/tests/http2/test_connection.py
@@ -262,7 +262,7 @@
 
 
 def test_a_sidecar_without_grpc_imports_no_http2() -> None:
-    code = ("import sys, wickspread.sidecar.__main__; "
+    code = ("import sys, wickspread.daemon.__main__; "
             "print('ngh2' in sys.modules, 'wickspread.http2' in sys.modules)")
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60,
                           check=True)
--- a/tests/membership/test_sidecar.py
+++ b/tests/membership/test_sidecar.py
@@ -54,7 +54,7 @@
 def sidecar_of(roster: list[Upstream], discovery: Discovery, path: Path) -> Sidecar:
     """With the libraries that etcd needs, which the deployed environment does not have."""
     sidecar = Sidecar(roster, discovery, env={"WICKSPREAD_OPERATOR": str(path)})
-    sidecar.command = f"exec {sys.executable} -B -m wickspread.sidecar"
+    sidecar.command = f"exec {sys.executable} -B -m wickspread.daemon"
     return sidecar
 
 
--- a/tests/operations/test_pure.py
+++ b/tests/operations/test_pure.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.sockets import LONG_S, ROOT
-from wickspread.operations.figures import Figures
+from wickspread.engine.figures import Figures
 from wickspread.operations.handover import Handover
 from wickspread.operations.suspended import MOST_SUSPENDED, Suspended, Unknown
 
--- a/tests/operations/test_upgrade.py
+++ b/tests/operations/test_upgrade.py
@@ -17,7 +17,8 @@
 from tests.operations.rig import Doored
 from tests.sockets import LONG_S, Client, Discovery, Message, Upstream, answer, eventually
 from wickspread.decisions import interface as api
-from wickspread.sidecar.upstream import Exchange, Host, Pool
+from wickspread.engine.seams import Host
+from wickspread.http1.upstream import Exchange, Pool
 
 
 @contextmanager
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -88,7 +88,7 @@
     operator.write_text(text)
     config.write_text(json.dumps({"seed": "1", "settings": settings(Plan(), 0)}))
     code = (f"import sys; sys.modules.update({{name: None for name in {gone!r}.split()}});"
-            "from wickspread.sidecar.__main__ import main; sys.exit(main())")
+            "from wickspread.daemon.__main__ import main; sys.exit(main())")
     env = os.environ | {"PROXY_NAME": "n", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:9",
                         "PROXY_CONFIG": str(config), "WICKSPREAD_OPERATOR": str(operator)}
     done = subprocess.run([sys.executable, "-c", code], env=env, capture_output=True, text=True, timeout=60)
@@ -97,7 +97,7 @@
 
 def test_without_a_table_nothing_of_its_subsystem_is_imported(tmp_path: Path) -> None:
     """The sidecar's wiring, with everything that it imports at its start."""
-    code = ("import sys, wickspread.sidecar.__main__; "
+    code = ("import sys, wickspread.daemon.__main__; "
             "print([name for name in sys.modules if name.split('.')[0] in ('ngh2', 'grpc', 'h2', 'nacl')"
             " or name.startswith(('wickspread.grpc', 'wickspread.http2', 'wickspread.gossip'))])")
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -17,8 +17,8 @@
 from hypothesis import strategies as st
 
 from tests.sockets import LONG_S, Message, Script, Sidecar, Upstream, answer, eventually
-from wickspread.sidecar.bodies import MOST_BODY, WINDOW, Spool, Upload
-from wickspread.sidecar.outflow import Outflow
+from wickspread.engine.bodies import MOST_BODY, WINDOW, Spool, Upload
+from wickspread.http1.outflow import Outflow
 
 MB = 1024 * 1024
 HEAD = "Host: b\r\nReq-Deadline: 5.0\r\n"
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,8 +12,8 @@
 
 from tests.options import OPTIONS
 from tests.sockets import DEPLOY, ROOT, settings
+from wickspread.daemon import config
 from wickspread.decisions.settings import parse_settings
-from wickspread.sidecar import config
 
 GOOD: dict[str, Any] = {"seed": "8c1f", "limits": {"sockets": 512}, "settings": settings()}
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,10 +12,10 @@
 from tests.sockets import LONG_S, Discovery, Message, Sidecar, Upstream, answer, eventually
 from tests.world import settings
 from wickspread.decisions import interface as api
-from wickspread.sidecar.discovery import Discovery as Watcher
-from wickspread.sidecar.engine import Clock, Engine
-from wickspread.sidecar.listing import Directory
-from wickspread.sidecar.upstream import Exchange, Pool
+from wickspread.engine.engine import Clock, Engine
+from wickspread.http1.upstream import Exchange, Pool
+from wickspread.roster.discovery import Discovery as Watcher
+from wickspread.roster.listing import Directory
 
 
 def served_by(sidecar: Sidecar, upstream: Upstream) -> bool:
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -12,8 +12,9 @@
 
 from tests.world import settings
 from wickspread.decisions import interface as api
-from wickspread.sidecar.engine import Call, Clock, Engine
-from wickspread.sidecar.upstream import Answer, Connection, Exchange, Host, Pool
+from wickspread.engine.engine import Clock, Engine
+from wickspread.engine.seams import Answer, Call, Host
+from wickspread.http1.upstream import Connection, Exchange, Pool
 
 Handle = Callable[[int, api.Event], list[api.Action]]
 
@@ -91,6 +92,8 @@
 def test_an_answer_that_cannot_be_written_takes_no_slot_with_it() -> None:
     async def test() -> None:
         class Connections:
+            exchange = staticmethod(Exchange)
+
             def start(self, upstream: int, exchange: Exchange, timeout_s: float) -> None:
                 engine.loop.call_soon(exchange.finish, api.Outcome.OK, Answer(200, b"", b"ok", b""))
 
--- a/tests/test_garbage.py
+++ b/tests/test_garbage.py
@@ -17,9 +17,10 @@
 from tests.test_engine import NoDiscovery
 from tests.world import settings
 from wickspread.decisions import interface as api
-from wickspread.sidecar.engine import Clock, Engine
-from wickspread.sidecar.server import Server
-from wickspread.sidecar.upstream import Host, Pool
+from wickspread.engine.engine import Clock, Engine
+from wickspread.engine.seams import Host
+from wickspread.http1.server import Server
+from wickspread.http1.upstream import Pool
 
 ROUNDS = 30
 
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -15,11 +15,12 @@
 from tests.sockets import LONG_S, Discovery, Sidecar, Upstream, eventually
 from tests.world import settings
 from wickspread.decisions import interface as api
-from wickspread.sidecar.discovery import Call
-from wickspread.sidecar.discovery import Discovery as Watcher
-from wickspread.sidecar.engine import Clock, Engine
-from wickspread.sidecar.listing import SLICE, Directory, ListError, Reading, changes
-from wickspread.sidecar.upstream import Host, Pool
+from wickspread.engine.engine import Clock, Engine
+from wickspread.engine.seams import Host
+from wickspread.http1.upstream import Pool
+from wickspread.roster.discovery import Call
+from wickspread.roster.discovery import Discovery as Watcher
+from wickspread.roster.listing import SLICE, Directory, ListError, Reading, changes
 
 MANY = 10_000
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from wickspread.sidecar.timers import MOST_EMPTY, TICK_S, Timer, Timers
+from wickspread.engine.timers import MOST_EMPTY, TICK_S, Timer, Timers
 
 
 class Loop:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -14,7 +14,8 @@
 
 from tests.sockets import LONG_S, Message, Script, Sidecar, Upstream, answer, eventually
 from wickspread.decisions import interface as api
-from wickspread.sidecar.upstream import Exchange, Host, Pool
+from wickspread.engine.seams import Host
+from wickspread.http1.upstream import Exchange, Pool
 
 
 def then_close(data: bytes) -> Script:
--- a/wickspread/__main__.py
+++ b/wickspread/__main__.py
@@ -77,7 +77,7 @@
         return gossip.main(arguments)
     if command == "run":
         enter_built()
-        from wickspread.sidecar.__main__ import main as run
+        from wickspread.daemon.__main__ import main as run
 
         return run()
     print(USAGE, file=sys.stderr if command not in ("-h", "--help") else sys.stdout, end="")
--- a/wickspread/compiled.py
+++ b/wickspread/compiled.py
@@ -40,7 +40,7 @@
 
 
 def name_of(path: str) -> str:
-    """The module of a source: wickspread/sidecar/engine.py is wickspread.sidecar.engine."""
+    """The module of a source: wickspread/engine/engine.py is wickspread.engine.engine."""
     return path.removesuffix(".py").replace("/", ".")
 
 
--- a/wickspread/sidecar/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -13,19 +13,20 @@
 import uvloop
 
 from wickspread import compiled
+from wickspread.daemon import config as configuration
+from wickspread.daemon.subsystems import Context, close_all, start_wanted
 from wickspread.decisions import interface as api
+from wickspread.engine.bodies import Spool
+from wickspread.engine.collector import Collector
+from wickspread.engine.engine import Clock, Engine
+from wickspread.http1.server import Server
+from wickspread.http1.upstream import Pool
 from wickspread.operations.door import Door
 from wickspread.operations.hand import Hand
 from wickspread.operations.handover import Handover
 from wickspread.operator import file as operators
-from wickspread.sidecar import config as configuration
-from wickspread.sidecar.bodies import Spool
-from wickspread.sidecar.collector import Collector
-from wickspread.sidecar.discovery import Discovery
-from wickspread.sidecar.engine import Clock, Engine
-from wickspread.sidecar.listing import Directory, ListError
-from wickspread.sidecar.server import Server
-from wickspread.sidecar.upstream import Pool
+from wickspread.roster.discovery import Discovery
+from wickspread.roster.listing import Directory, ListError
 
 log = logging.getLogger("wickspread")
 
@@ -50,40 +51,16 @@
     engine = Engine(settings, config.seed, clock, pool, discovery)
     discovery.sink = engine
     server = Server(engine, share, Spool(spool_bytes(config.memory_mb)))
-    nodes = None
-    if operator.grpc.enabled:
-        # hazard: the HTTP/2 library takes memory; where gRPC is off, nothing of it is imported
-        try:
-            from wickspread.grpc.start import start as start_grpc
-        except ModuleNotFoundError as error:
-            raise operators.OperatorError(f"grpc.enabled: needs the `grpc` extra; no {error.name}") from error
-        nodes = start_grpc(operator.grpc, engine, server)
+    context = Context(config, operator, engine, directory, server, discovery)
     hand, door = None, None
     if config.door is not None or config.accept_fd is not None:
         hand = Hand(engine, directory, server, Handover.of(os.environ))
     if config.door is not None and hand is not None:
         door = Door(hand.calls())
         await door.open(config.door)
-    sources = None
-    if operator.membership.etcd.endpoints or operator.membership.socket:
-        from wickspread.membership.start import Sources
-        try:
-            sources = Sources(operator.membership, engine, directory, config.seed)
-        except ModuleNotFoundError as error:
-            raise operators.OperatorError(
-                f"membership.etcd: needs the `etcd` extra; no {error.name}") from error
-        await sources.start()
-        discovery.sink = sources.feed
-    gossip = None
-    if operator.gossip.bind:
-        # hazard: the library of signatures takes memory; without gossip nothing of it is imported
-        try:
-            from wickspread.gossip.start import Gossiping
-        except ModuleNotFoundError as error:
-            raise operators.OperatorError(f"gossip: needs the `gossip` extra; no {error.name}") from error
-        gossip = Gossiping(operator.gossip, engine, directory, config.seed)
-        await gossip.start()
+    running = await start_wanted(context)
     log.info("runs %s", compiled.state)
+    assert discovery.sink is not None
     discovery.sink.list_changed(api.ListKind.CACHED, known, version)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -104,16 +81,11 @@
     await stop.wait()
     await server.stop()
     discovery.close()
-    if sources is not None:
-        sources.close()
-    if gossip is not None:
-        gossip.close()
     if door is not None:
         door.close()
     if hand is not None:
         hand.close()
-    if nodes is not None:
-        nodes.close()
+    close_all(running)
     pool.close()
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
 
@@ -137,7 +109,7 @@
     logging.basicConfig(format="wickspread: %(message)s", level=logging.INFO)
     try:
         uvloop.run(serve(configuration.load(os.environ), operators.load(os.environ)))
-    except (configuration.ConfigError, ListError) as error:
+    except (configuration.ConfigError, operators.OperatorError, ListError) as error:
         print(f"wickspread: {error}", file=sys.stderr)
         return 2
     except OSError as error:
--- a/wickspread/sidecar/config.py
+++ b/wickspread/daemon/config.py
@@ -10,8 +10,7 @@
 
 from wickspread.decisions import interface as api
 from wickspread.decisions.settings import SettingsError, parse_settings
-
-Address = tuple[str, int]
+from wickspread.engine.address import Address, parse_address
 
 
 class ConfigError(Exception):
@@ -32,13 +31,6 @@
     accept_fd: int | None = None  # the clients' listening socket, inherited; None = it is opened here
 
 
-def parse_address(text: object) -> Address:
-    host, colon, port = str(text).rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-        raise ConfigError(f"expected an address HOST:PORT, got {text!r}")
-    return host, int(port)
-
-
 def plain(value: object) -> str:
     """A plain value as it stands in the simulator's text: without spaces and commas."""
     if isinstance(value, bool):
--- /dev/null
+++ b/wickspread/daemon/subsystems.py
@@ -0,0 +1,99 @@
+"""What can be turned on beside the core, each by its table of the operator file. Nothing is imported of one
+that is off: the libraries take memory and time.
+
+A subsystem is started with all that it may use (Context), and stopped by `close`; in between it goes
+through the engine, as everything does.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from wickspread.daemon.config import Config
+from wickspread.engine.engine import Engine
+from wickspread.http1.listener import Listener
+from wickspread.operator.file import Operator, OperatorError
+from wickspread.roster.discovery import Discovery
+from wickspread.roster.listing import Directory
+
+
+@dataclass(slots=True, frozen=True)
+class Context:
+    """A sidecar that is about to take requests."""
+
+    config: Config
+    operator: Operator
+    engine: Engine
+    directory: Directory
+    server: Listener
+    discovery: Discovery  # who tells the platform's list; its `sink` may be changed
+
+
+class Running(Protocol):
+    """A subsystem that is on."""
+
+    def close(self) -> None: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Subsystem:
+    key: str  # of the operator file, as errors name it
+    extra: str  # of pyproject.toml, that brings its libraries
+    wanted: Callable[[Operator], bool]
+    start: Callable[[Context], Awaitable[Running]]  # raises OperatorError for what the file says wrong
+
+
+async def start_grpc(context: Context) -> Running:
+    from wickspread.grpc.start import start
+
+    return start(context.operator.grpc, context.engine, context.server)
+
+
+async def start_membership(context: Context) -> Running:
+    from wickspread.membership.start import Sources
+
+    sources = Sources(context.operator.membership, context.engine, context.directory, context.config.seed)
+    await sources.start()
+    context.discovery.sink = sources.feed
+    return sources
+
+
+async def start_gossip(context: Context) -> Running:
+    from wickspread.gossip.start import Gossiping
+
+    gossip = Gossiping(context.operator.gossip, context.engine, context.directory, context.config.seed)
+    await gossip.start()
+    return gossip
+
+
+# In the order of their start; they end in the other one.
+ALL = (
+    Subsystem("grpc.enabled", "grpc", lambda told: told.grpc.enabled, start_grpc),
+    Subsystem("membership.etcd", "etcd",
+              lambda told: bool(told.membership.etcd.endpoints or told.membership.socket), start_membership),
+    Subsystem("gossip", "gossip", lambda told: bool(told.gossip.bind), start_gossip),
+)
+
+
+async def start_wanted(context: Context, all_of_them: tuple[Subsystem, ...] = ALL) -> list[Running]:
+    """Those that the operator file turns on. Raises OperatorError, also where a library is missing; what had
+    been started is closed then."""
+    running: list[Running] = []
+    try:
+        for one in all_of_them:
+            if one.wanted(context.operator):
+                running.append(await one.start(context))
+    except ModuleNotFoundError as error:
+        close_all(running)
+        raise OperatorError(f"{one.key}: needs the `{one.extra}` extra; no {error.name}") from error
+    except BaseException:
+        close_all(running)
+        raise
+    return running
+
+
+def close_all(running: list[Running]) -> None:
+    while running:
+        running.pop().close()
--- a/wickspread/sidecar/engine.py
+++ b/wickspread/engine/engine.py
@@ -13,16 +13,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Protocol
 
 from wickspread.decisions import interface as api
 from wickspread.decisions.balance import Balancer
-from wickspread.decisions.fleet import Server
 from wickspread.decisions.settings import check_allowed, parse_report
-from wickspread.operations.figures import Figures
-from wickspread.sidecar.bodies import KEEP, Flow, Opens, Source, Upload
-from wickspread.sidecar.timers import Timer, Timers
-from wickspread.sidecar.upstream import Answer, Exchange, Host
+from wickspread.engine.bodies import KEEP, Flow, Source
+from wickspread.engine.figures import Figures
+from wickspread.engine.seams import Answer, Attempt, Call, Decisions, Discovery, Finished, Host, Nodes, Reply
+from wickspread.engine.timers import Timer, Timers
 
 log = logging.getLogger("wickspread")
 
@@ -40,63 +38,19 @@
         return (self.base_ns + time.monotonic_ns()) // 1000
 
 
-class Attempt(Protocol):
-    """What the engine holds of one that is out."""
-
-    def finish(self, outcome: api.Outcome) -> None: ...
-
-
-class Started(Attempt, Protocol):
-    def start(self, upstream: int, timeout_s: float) -> None: ...
-
-
-class Carrier(Protocol):
-    """Takes a request's attempts where it is no plain HTTP/1.1. `left_us` is 0 once nothing may be sent any
-    more; `ended` is called once; `began` is called when a part of the answer has gone to the client, from
-    when on no other attempt may follow."""
-
-    def attempt(self, left_us: Callable[[], int], ended: Callable[[api.Outcome, Answer | None], None],
-                began: Callable[[], None]) -> Started: ...
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """A request as the application sent it."""
-
-    class_index: int
-    due_us: int
-    head: bytes  # request line and the headers that go on to upstreams
-    body: bytes
-    tenant: int = 0
-    key: int = 0
-    cost_us: int = 0
-    retried: bool = False
-    ident: bytes = b""  # its Req-Id
-    carrier: Carrier | None = None  # None = HTTP/1.1, with the head and body above
-    upload: Upload | None = None  # in place of `body`: it is passed on as it comes
-    after_us: int = 0  # what is left of its time once an upload is whole
-    opens: Opens | None = None  # where a large answer goes; None = nowhere
-
-
 @dataclass(slots=True, eq=False)
 class Entry:
     """What is owed for one request."""
 
     call: Call
-    reply: Callable[[int, bytes, bytes], None]  # where its one answer goes: status, headers, body
+    reply: Reply
     guard: Timer | None = None
     answered: bool = False
     attempts: list[Attempt | None] = field(default_factory=list)  # None = never started, or ended
     out: int = 0
 
 
-ProbeEnd = Callable[[api.Outcome, Answer | None], None]
-
-
-class Discovery(Protocol):
-    def subscribe(self, active: bool) -> None: ...
-
-    def fetch(self) -> None: ...
+ProbeEnd = Finished
 
 
 def just(head: bytes) -> list[bytes]:
@@ -104,33 +58,6 @@
     return [head]
 
 
-class Decisions(Protocol):
-    """What of the decision module is called here, and nowhere else."""
-
-    entries: dict[int, api.Upstream]  # the list
-    servers: dict[int, Server]  # those in use
-
-    def handle(self, now_us: int, event: api.Event) -> list[api.Action]: ...
-
-    def avoided(self) -> int: ...
-
-    def learnt(self) -> api.Learnt: ...
-
-
-class Nodes(Protocol):
-    """The upstreams' side: carries attempts and probes."""
-
-    hosts: dict[int, Host]
-
-    def update(self, hosts: list[Host], whole: bool) -> None: ...
-
-    def start(self, upstream: int, exchange: Exchange, timeout_s: float) -> None: ...
-
-    def close_idle(self, upstream: int) -> None: ...
-
-    def shrink(self, half: bool) -> None: ...
-
-
 class Engine:
     def __init__(self, settings: api.Settings, seed: int, clock: Clock, pool: Nodes,
                  discovery: Discovery) -> None:
@@ -153,7 +80,7 @@
 
     # From the application
 
-    def accept(self, call: Call, reply: Callable[[int, bytes, bytes], None]) -> int:
+    def accept(self, call: Call, reply: Reply) -> int:
         """Take a request. Its answer may come before this returns."""
         ident, self.next_request = self.next_request, self.next_request % 0xFFFFFFFF + 1
         entry = self.requests[ident] = Entry(call, reply)
@@ -311,7 +238,7 @@
             carried = entry.attempts[attempt] = call.carrier.attempt(out.left_us, out.ended, out.began)
             carried.start(action.upstream, timeout_us / 1e6)
             return
-        exchange = entry.attempts[attempt] = Exchange(
+        exchange = entry.attempts[attempt] = self.pool.exchange(
             out.render, out.ended, out.wrote, out.opens if call.opens is not None else None, call.upload)
         self.pool.start(action.upstream, exchange, timeout_us / 1e6)
 
@@ -322,7 +249,8 @@
             return
         path = b"/status/load" if self.settings.report_names else b"/health"
         head = b"GET %s HTTP/1.1\r\nHost: backend.local\r\n\r\n" % path
-        self.pool.start(upstream, Exchange(partial(just, head), ended), self.settings.probe_timeout_us / 1e6)
+        exchange = self.pool.exchange(partial(just, head), ended)
+        self.pool.start(upstream, exchange, self.settings.probe_timeout_us / 1e6)
 
     def probed(self, upstream: int, since_us: int, outcome: api.Outcome, answer: Answer | None) -> None:
         if answer is not None and answer.status == 200:
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -10,6 +10,8 @@
 from typing import Any
 
 from wickspread.decisions import interface as api
+from wickspread.engine.address import parse_address
+from wickspread.engine.engine import Engine
 from wickspread.gossip.codec import MOST_NAME
 from wickspread.gossip.credentials import Credentials, Watch
 from wickspread.gossip.files import FileError
@@ -18,9 +20,7 @@
 from wickspread.gossip.transport import Transport, log, wall_us
 from wickspread.membership.show import listen
 from wickspread.operator.file import Gossip, OperatorError
-from wickspread.sidecar.config import parse_address
-from wickspread.sidecar.engine import Engine
-from wickspread.sidecar.listing import Directory
+from wickspread.roster.listing import Directory
 
 LOOK_S = 1.0  # between looks at the files
 TIMEOUT_S = 5.0  # for a reader of the window
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -10,13 +10,19 @@
 import asyncio
 import contextlib
 import itertools
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
+from wickspread.engine.seams import Call
 from wickspread.grpc import health
+from wickspread.grpc.held import WIDE
 from wickspread.grpc.metadata import Headers, Reader, Rejected, acceptable, value_of
 from wickspread.grpc.nodes import Nodes
-from wickspread.grpc.relay import KEPT, OWN_HEADERS, WIDE, Relay
+from wickspread.grpc.relay import KEPT, OWN_HEADERS, Relay
 from wickspread.grpc.status import Code, encode_message
+from wickspread.http1.client import ClientConnection
+from wickspread.http1.listener import Incoming, Listener
+from wickspread.http1.request import Rejected as HttpRejected
+from wickspread.http1.upstream import input_poll
 from wickspread.http2.connection import (
     CANCEL,
     NO_ERROR,
@@ -31,13 +37,6 @@
     TrailersReceived,
 )
 from wickspread.http2.endpoint import Endpoint
-from wickspread.sidecar.client import ClientConnection
-from wickspread.sidecar.engine import Call
-from wickspread.sidecar.request import Rejected as HttpRejected
-from wickspread.sidecar.upstream import input_poll
-
-if TYPE_CHECKING:
-    from wickspread.sidecar.server import Server
 
 START_S = 0.02  # from a call's headers, where its client goes on sending
 LINGER_S = 1.0  # for a client to read its answer
@@ -47,7 +46,7 @@
 class Front:
     """What the connections of all gRPC clients share."""
 
-    def __init__(self, server: Server, reader: Reader, nodes: Nodes, streams: int, idle_s: float) -> None:
+    def __init__(self, server: Listener, reader: Reader, nodes: Nodes, streams: int, idle_s: float) -> None:
         self.server = server
         self.reader = reader
         self.nodes = nodes
@@ -59,9 +58,9 @@
         self.stamp = b"%x" % (nodes.now_us() & 0xFFFFFFFFFF)
         self.watches: set[tuple[GrpcConnection, int]] = set()
 
-    def first(self, plain: ClientConnection) -> Sniffer:
+    def first(self, plain: Incoming) -> Sniffer:
         """Who has the first bytes of a connection."""
-        return Sniffer(self, plain)
+        return Sniffer(self, cast(ClientConnection, plain))
 
     def ident(self) -> bytes:
         """A req-id for a call that has none."""
--- a/wickspread/grpc/metadata.py
+++ b/wickspread/grpc/metadata.py
@@ -11,7 +11,7 @@
 from wickspread.decisions import interface as api
 from wickspread.grpc.deadline import DeadlineError, format_us, parse_us
 from wickspread.grpc.status import Code
-from wickspread.sidecar.request import ANSWER_MARGIN_US, REQ_ID, cost_us, decimal_us, key_number
+from wickspread.http1.request import ANSWER_MARGIN_US, REQ_ID, cost_us, decimal_us, key_number
 
 Headers = list[tuple[bytes, bytes]]
 ONCE = frozenset({b"req-id", b"idempotency-key", b"req-owner", b"req-key", b"req-cost", b"grpc-timeout",
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -5,13 +5,16 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import Protocol, cast
 
 from wickspread.decisions import interface as api
+from wickspread.engine.engine import Engine
+from wickspread.engine.seams import Answer, Finished, Host
+from wickspread.grpc.held import WIDE, Held
 from wickspread.grpc.message import first_size
 from wickspread.grpc.metadata import Headers, Request, value_of
 from wickspread.grpc.outcome import End, Ended
-from wickspread.grpc.relay import WIDE, Finished, Held
+from wickspread.http1.upstream import LOCAL_ERRORS, Pool, input_poll, itself
 from wickspread.http2.connection import (
     CANCEL,
     NO_ERROR,
@@ -27,10 +30,6 @@
 from wickspread.http2.connection import Ended as ConnectionEnded
 from wickspread.http2.connection import GoawayReceived as Goaway
 from wickspread.http2.endpoint import Endpoint
-from wickspread.sidecar.upstream import LOCAL_ERRORS, Answer, Host, Pool, input_poll, itself
-
-if TYPE_CHECKING:
-    from wickspread.sidecar.engine import Engine
 
 MOST_UNSENT = 64 * 1024  # bytes that wait for a node's window, and no more are handed on
 SWEEP_S = 0.25
--- a/wickspread/grpc/relay.py
+++ b/wickspread/grpc/relay.py
@@ -8,25 +8,22 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from wickspread.decisions import interface as api
+from wickspread.engine.seams import Answer, Finished
+from wickspread.grpc.held import WIDE, Holder
 from wickspread.grpc.metadata import Headers, Request, answer_headers, retry_after_us
+from wickspread.grpc.nodes import Attempt, Nodes
 from wickspread.grpc.outcome import Ended, Verdict, failed, judge, refused
 from wickspread.grpc.status import Code
 from wickspread.http2.connection import CANCEL
-from wickspread.sidecar.upstream import Answer
-
-if TYPE_CHECKING:
-    from wickspread.grpc.nodes import Attempt, Nodes
 
 PUSHBACK = b"grpc-retry-pushback-ms"
 KEPT = 64 * 1024  # bytes of a request that can be sent again
-WIDE = 512 * 1024  # window of a long stream, either way: nothing of it is kept
 OWN_HEADERS = [(b":status", b"200"), (b"content-type", b"application/grpc")]
 MESSAGES = {Code.DEADLINE_EXCEEDED: b"the time is out", Code.RESOURCE_EXHAUSTED: b"too much is unread",
             Code.UNAVAILABLE: b"the node's connection ended"}
-Finished = Callable[[api.Outcome, Answer | None], None]
 
 
 class Client(Protocol):
@@ -50,34 +47,14 @@
         """Its final status has been given."""
 
 
-class Held:
-    """Bytes held for peers that do not read, against a limit of the whole sidecar."""
-
-    def __init__(self, most: int) -> None:
-        self.most = most
-        self.size = 0
-        self.relays: set[Relay] = set()
-
-    def change(self, relay: Relay, by: int) -> None:
-        relay.held += by
-        self.size += by
-        if relay.held > 0:
-            self.relays.add(relay)
-        else:
-            self.relays.discard(relay)
-
-    def largest(self) -> Relay | None:
-        """Over the limit: the call that holds most."""
-        return max(self.relays, key=lambda one: one.held) if self.size > self.most and self.relays else None
-
-
-class Relay:
+class Relay(Holder):
     """A call, from its headers to its one final status. The engine's Carrier for it."""
 
     __slots__ = ("client", "stream", "request", "nodes", "number", "buffer", "base", "whole", "attempts",
-                 "bound", "wide", "verdict", "final", "told", "over", "held", "eager")
+                 "bound", "wide", "verdict", "final", "told", "over", "eager")
 
     def __init__(self, client: Client, stream: int, request: Request, nodes: Nodes, eager: bool) -> None:
+        super().__init__()
         self.client = client
         self.stream = stream
         self.request = request
@@ -93,7 +70,6 @@
         self.final: Attempt | None = None  # whose answer is the call's
         self.told = False  # headers have gone to the client
         self.over = False
-        self.held = 0
         self.eager = eager  # the answer's headers go on before its first message
 
     # From the client
--- a/wickspread/grpc/start.py
+++ b/wickspread/grpc/start.py
@@ -4,16 +4,16 @@
 
 from functools import partial
 
+from wickspread.engine.engine import Engine
 from wickspread.grpc.front import Front
 from wickspread.grpc.metadata import MethodError, Methods, Reader
 from wickspread.grpc.nodes import Nodes
 from wickspread.grpc.probe import probe
+from wickspread.http1.listener import Listener
 from wickspread.operator.file import Grpc, OperatorError
-from wickspread.sidecar.engine import Engine
-from wickspread.sidecar.server import Server
 
 
-def start(told: Grpc, engine: Engine, server: Server) -> Nodes:
+def start(told: Grpc, engine: Engine, server: Listener) -> Nodes:
     """Raises OperatorError where a method has a class that the settings don't have."""
     try:
         methods = Methods(told.methods, engine.settings.classes)
--- /dev/null
+++ b/wickspread/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1, the application's side and the nodes'."""
--- a/wickspread/sidecar/client.py
+++ b/wickspread/http1/client.py
@@ -7,17 +7,15 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import httptools
 
-from wickspread.sidecar.bodies import KEEP, MOST_BODY, Flow, Source, Upload
-from wickspread.sidecar.outflow import InLine, Outflow
-from wickspread.sidecar.request import Rejected
-from wickspread.sidecar.upstream import MAX_HEAD, input_poll
-
-if TYPE_CHECKING:
-    from wickspread.sidecar.server import Server
+from wickspread.engine.bodies import KEEP, MOST_BODY, Flow, Source, Upload
+from wickspread.http1.listener import Listener
+from wickspread.http1.outflow import InLine, Outflow
+from wickspread.http1.request import Rejected
+from wickspread.http1.upstream import MAX_HEAD, input_poll
 
 log = logging.getLogger("wickspread")
 
@@ -92,7 +90,7 @@
     __deletable__ = ("parser",)
     idle_s = 4.0  # between requests, at most
 
-    def __init__(self, server: Server) -> None:
+    def __init__(self, server: Listener) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
--- a/wickspread/sidecar/outflow.py
+++ b/wickspread/http1/outflow.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from wickspread.sidecar.bodies import Source
+from wickspread.engine.bodies import Source
 
 
 class Line(Protocol):
--- a/wickspread/sidecar/request.py
+++ b/wickspread/http1/request.py
@@ -6,9 +6,9 @@
 import re
 
 from wickspread.decisions import interface as api
-from wickspread.sidecar.bodies import Upload
-from wickspread.sidecar.engine import Call
-from wickspread.sidecar.upstream import HOP_HEADERS, end_to_end
+from wickspread.engine.bodies import Upload
+from wickspread.engine.seams import Call
+from wickspread.http1.upstream import HOP_HEADERS, end_to_end
 
 # The answer is under way, and the loop may be busy, when the client's time is out.
 ANSWER_MARGIN_US = 10_000
--- a/wickspread/sidecar/server.py
+++ b/wickspread/http1/server.py
@@ -6,18 +6,15 @@
 import logging
 import socket
 from functools import partial
-from typing import TYPE_CHECKING, Protocol
 
-from wickspread.sidecar.admission import Admission
-from wickspread.sidecar.bodies import Spool, Upload
-from wickspread.sidecar.client import ClientConnection, Pending
-from wickspread.sidecar.config import Address
-from wickspread.sidecar.engine import Engine
-from wickspread.sidecar.request import Reader, Rejected
-from wickspread.sidecar.upstream import itself
-
-if TYPE_CHECKING:
-    from wickspread.grpc.front import Front
+from wickspread.engine.address import Address
+from wickspread.engine.bodies import Spool, Upload
+from wickspread.engine.engine import Engine
+from wickspread.http1.admission import Admission
+from wickspread.http1.client import ClientConnection
+from wickspread.http1.listener import Asked, Incoming, Listener
+from wickspread.http1.request import Reader, Rejected
+from wickspread.http1.upstream import itself
 
 log = logging.getLogger("wickspread")
 
@@ -32,54 +29,19 @@
 RETRY_ACCEPT_S = 0.05
 
 
-class Incoming(Protocol):
-    """A connection of the application's, by any protocol."""
-
-    since: float  # it was accepted, came to rest, or began a later request
-    asked: bool  # a whole request has come
-    reading: bool  # a request has begun and is not whole
-    unparsed: int
-    deaf: bool  # what still comes is dropped
-    idle_s: float
-
-    @property
-    def grace_s(self) -> float:
-        """How long after `since` what is being read may take."""
-    transport: asyncio.Transport | None
-
-    @property
-    def pending(self) -> object:
-        """True in a condition while something is owed here."""
-
-    def quiet(self) -> bool: ...
-
-    def backlog(self) -> bool: ...
-
-    def reject(self, error: Rejected) -> None: ...
-
-    def drop(self) -> None: ...
-
-    def leave(self) -> None: ...
-
-
-class Server:
+class Server(Listener):
     """The listener, within a budget of client connections."""
 
     def __init__(self, engine: Engine, most: int, spool: Spool | None = None) -> None:
-        self.engine = engine
+        super().__init__(engine, spool or Spool(4 * 1024 * 1024))
         self.reader = Reader(engine.settings)
         self.most = self.whole = most
-        self.loop = engine.loop
         self.connections: set[Incoming] = set()
         self.places: Admission[Incoming] = Admission(most)
-        self.spool = spool or Spool(4 * 1024 * 1024)
-        self.uploads: dict[ClientConnection, None] = {}  # bodies that are passed on as they come
-        self.open: set[bytes] = set()  # Req-Ids of requests that are not answered
         self.tasks: set[asyncio.Task[None]] = set()
         self.listener: socket.socket | None = None
         self.listening = False
-        self.front: Front | None = None  # of gRPC, where that is on
-        self.stopping = self.closing = False
+        self.stopping = False
         self.inherited = False  # the listener is shared with other processes
         self.drained: asyncio.Task[None] | None = None
         self.next_complaint = 0.0
@@ -87,7 +49,6 @@
 
     @property
     def ready(self) -> bool:
-        """New connections are wanted."""
         return not self.stopping and self.drained is None
 
     def listen(self, address: Address, inherited: int | None = None) -> Address:
@@ -183,14 +144,13 @@
     async def adopt(self, client: socket.socket, connection: ClientConnection) -> None:
         try:
             client.setblocking(False)
-            first = connection if self.front is None else self.front.first(connection)
+            first: object = connection if self.front is None else self.front.first(connection)
             await self.loop.connect_accepted_socket(partial(itself, first), client)
         except OSError:
             client.close()
             self.lost(connection)
 
-    def swap(self, old: ClientConnection, new: Incoming) -> None:
-        """It speaks another protocol than was thought."""
+    def swap(self, old: Incoming, new: Incoming) -> None:
         self.busy(old)
         self.connections.discard(old)
         self.connections.add(new)
@@ -209,7 +169,7 @@
             self.next_complaint = self.loop.time() + 1.0
             log.warning("%s", text)
 
-    def take(self, one: Pending, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
+    def take(self, one: Asked, method: bytes, target: bytes, headers: list[tuple[bytes, bytes]],
              body: bytes, upload: Upload | None = None) -> None:
         if target == b"/ready" and method == b"GET":
             one.reply(200 if self.ready else 503)
--- a/wickspread/sidecar/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -8,16 +8,16 @@
 import select
 from collections import OrderedDict
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
-from typing import Protocol, cast
+from typing import cast
 
 import httptools
 
 from wickspread.decisions import interface as api
-from wickspread.sidecar.bodies import KEEP, MOST_BODY, Flow, Source, Upload
-from wickspread.sidecar.config import Address
-from wickspread.sidecar.timers import Timer, Timers
+from wickspread.engine.bodies import KEEP, MOST_BODY, Flow, Upload
+from wickspread.engine.seams import Answer, Attempt, Finished, Host, OpensAnswer
+from wickspread.engine.timers import Timer, Timers
 
 log = logging.getLogger("wickspread")
 
@@ -48,15 +48,6 @@
     return b"".join(parts)
 
 
-@dataclass(slots=True)
-class Answer:
-    status: int
-    head: bytes  # the header lines that go on to the client
-    body: bytes
-    load: bytes  # its Srv-Load, if any
-    last: bool = False  # no further attempt can be made
-
-
 def itself(one: object) -> asyncio.Protocol:
     """For the loop, which wants to make it. Hazard: compiled, a lambda and what it closes over hold one
     another until the cycle collector comes: a connection, and all that it holds."""
@@ -73,9 +64,7 @@
     __slots__ = ("render", "ended", "wrote", "opens", "upload", "timeout_s", "timer", "connection", "done")
 
     def __init__(self, render: Callable[[], list[bytes] | None],
-                 ended: Callable[[api.Outcome, Answer | None], None],
-                 wrote: Callable[[], None] | None = None,
-                 opens: Callable[[bytes, int | None, bytes, Source], Flow | None] | None = None,
+                 ended: Finished, wrote: Callable[[], None] | None = None, opens: OpensAnswer | None = None,
                  upload: Upload | None = None) -> None:
         self.render = render  # the parts, asked for when they are to be written; None = no longer wanted
         self.ended = ended
@@ -127,37 +116,6 @@
     return poll
 
 
-class Shared(Protocol):
-    """A connection that carries many streams, beside those that carry one exchange at a time."""
-
-    def retire(self) -> None:
-        """No new streams; those that are open go on."""
-
-
-@dataclass(slots=True, eq=False)
-class Host:
-    """One upstream: its entry of the list, where it listens, its connections."""
-
-    entry: api.Upstream
-    dial: Address
-    dial_grpc: Address | None = None  # where it speaks gRPC, if not there as well
-    shared: list[Shared] = field(default_factory=list)
-    idle: dict[Connection, None] = field(default_factory=dict)  # the last one was used most recently
-    told: api.Upstream | None = None  # the entry as the list has it, where a hand holds it otherwise
-    heard: float = 0.0  # loop time of the last byte from it
-    generation: int = 0  # counts its restarts
-    open: int = 0  # connections, those being made among them
-
-    def wanted(self) -> bool:
-        return self.entry.state is api.UpstreamState.READY
-
-    def close_idle(self) -> None:
-        for connection in list(self.idle):
-            connection.close()
-        for shared in list(self.shared):
-            shared.retire()
-
-
 class Connection:
     """A connection carries one exchange at a time and is pooled in between. An asyncio.Protocol in all but
     its bases: with one that is not compiled, each attribute would be looked up in a dictionary."""
@@ -520,7 +478,13 @@
         if host.entry.state is api.UpstreamState.GONE and not host.open:
             self.hosts.pop(host.entry.id, None)
 
-    def start(self, upstream: int, exchange: Exchange, timeout_s: float) -> None:
+    def exchange(self, render: Callable[[], list[bytes] | None], ended: Finished,
+                 wrote: Callable[[], None] | None = None, opens: OpensAnswer | None = None,
+                 upload: Upload | None = None) -> Exchange:
+        return Exchange(render, ended, wrote, opens, upload)
+
+    def start(self, upstream: int, exchange: Attempt, timeout_s: float) -> None:
+        assert isinstance(exchange, Exchange)
         host = self.hosts.get(upstream)
         if host is None or not host.wanted():
             exchange.finish(api.Outcome.NOT_SENT)
@@ -528,7 +492,7 @@
         exchange.timeout_s = timeout_s
         exchange.timer = self.timers.later(timeout_s, exchange.expire)
         while host.idle:
-            connection = next(reversed(host.idle))
+            connection = cast(Connection, next(reversed(host.idle)))
             if connection.usable():
                 connection.leave()
                 connection.begin(exchange)
--- a/wickspread/lab/grpc.py
+++ b/wickspread/lab/grpc.py
@@ -11,7 +11,7 @@
 from wickspread.lab.http1 import Reply, Request
 from wickspread.lab.http2 import ClientPeer, ServerPeer, Stream
 from wickspread.lab.ledger import Answered, Asked, Ledger, Quit, now_us
-from wickspread.lab.nodes import Node
+from wickspread.lab.nodes import Node, NodePeer
 
 SERVICE = b"/lab.Komiks/"
 # An answer's HTTP status and the code that says the same.
@@ -25,6 +25,17 @@
     return "\n".join([*lines, *[f'"{SERVICE.decode()}{load.kind}" = "{load.kind}"' for load in loads]]) + "\n"
 
 
+def speak(peer: NodePeer, data: bytes) -> None:
+    """The preface of HTTP/2 has come on a node's connection."""
+    assert peer.transport is not None
+    other = GrpcNodePeer(peer.node)
+    peer.node.peers.discard(peer)
+    peer.node.peers.add(other)
+    peer.transport.set_protocol(other)
+    other.connection_made(peer.transport)
+    other.data_received(data)
+
+
 class GrpcNodePeer(ServerPeer):
     """One connection to a node by gRPC."""
 
--- a/wickspread/lab/nodes.py
+++ b/wickspread/lab/nodes.py
@@ -67,8 +67,8 @@
     def data_received(self, data: bytes) -> None:
         if self.fresh:
             self.fresh = False
-            if data.startswith(b"PRI ") and self.transport is not None:
-                self.node.speak_grpc(self, data)
+            if data.startswith(b"PRI ") and self.node.other is not None:
+                self.node.other(self, data)
                 return
         super().data_received(data)
 
@@ -96,6 +96,7 @@
         self.keep_records = keep_records
         self.dice = random.Random(seed)
         self.trouble = Trouble()
+        self.other: Callable[[NodePeer, bytes], None] | None = None  # takes connections that speak HTTP/2
         self.health = "in_service"
         self.peers: set[Aborted] = set()
         self.accepted = self.received = self.served = 0
@@ -205,17 +206,5 @@
             peer.answer(b"200 OK", body)
         self.go_on()
 
-    def speak_grpc(self, peer: NodePeer, data: bytes) -> None:
-        """The preface of HTTP/2 has come. Imported here: most plays have no gRPC."""
-        from wickspread.lab.grpc import GrpcNodePeer
-
-        assert peer.transport is not None
-        other = GrpcNodePeer(self)
-        self.peers.discard(peer)
-        self.peers.add(other)
-        peer.transport.set_protocol(other)
-        other.connection_made(peer.transport)
-        other.data_received(data)
-
     def set_slow(self, times: float) -> None:
         self.trouble.slow = self.capacity.slow = times
--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -101,7 +101,7 @@
         self.path = Path(folder) / f"{name}.json"
         self.operator = operator  # the text of its operator file
         self.env: dict[str, str] = {}  # beside what is inherited
-        self.command = ["-B", "-m", "wickspread.sidecar"]
+        self.command = ["-B", "-m", "wickspread.daemon"]
         self.lines: deque[str] = deque(maxlen=500)
         self.address = ("", 0)
         self.process: asyncio.subprocess.Process | None = None
@@ -248,8 +248,10 @@
         """The sidecars' operator file. gRPC's part of the lab is imported where there is some."""
         if not self.plan.grpc:
             return ""
-        from wickspread.lab.grpc import methods
+        from wickspread.lab.grpc import methods, speak
 
+        for node in self.nodes:
+            node.other = speak
         return methods(self.plan.loads)
 
     def protocols(self) -> list[tuple[type[Crowd], float]]:
--- a/wickspread/membership/etcd/source.py
+++ b/wickspread/membership/etcd/source.py
@@ -12,6 +12,7 @@
 
 from google.protobuf.message import DecodeError, Message
 
+from wickspread.engine.address import Address, parse_address
 from wickspread.grpc.message import PREFIX, first_size, framed
 from wickspread.grpc.status import Code, parse
 from wickspread.http2.connection import (
@@ -34,7 +35,6 @@
 from wickspread.membership.etcd import follower as following
 from wickspread.membership.model import Entry
 from wickspread.operator.file import Etcd
-from wickspread.sidecar.config import Address, parse_address
 
 log = logging.getLogger("wickspread")
 
--- a/wickspread/membership/feed.py
+++ b/wickspread/membership/feed.py
@@ -12,11 +12,11 @@
 from itertools import islice
 
 from wickspread.decisions import interface as api
+from wickspread.engine.engine import Engine
+from wickspread.engine.seams import Host
 from wickspread.membership.merge import Merge
 from wickspread.membership.model import Entry
-from wickspread.sidecar.engine import Engine
-from wickspread.sidecar.listing import SLICE, Directory
-from wickspread.sidecar.upstream import Host
+from wickspread.roster.listing import SLICE, Directory
 
 READY, GONE = api.UpstreamState.READY, api.UpstreamState.GONE
 HEALTH = {READY: "in_service", api.UpstreamState.DRAINING: "terminating"}
--- a/wickspread/membership/show.py
+++ b/wickspread/membership/show.py
@@ -18,7 +18,7 @@
 from typing import Any, TextIO
 
 from wickspread.membership.feed import Feed
-from wickspread.sidecar.listing import SLICE
+from wickspread.roster.listing import SLICE
 
 TIMEOUT_S = 10.0  # for a reader that does not read on
 MOST_READERS = 4
--- a/wickspread/membership/start.py
+++ b/wickspread/membership/start.py
@@ -4,11 +4,11 @@
 
 import random
 
+from wickspread.engine.engine import Engine
 from wickspread.membership.feed import Feed
 from wickspread.membership.show import Window
 from wickspread.operator.file import Membership, OperatorError
-from wickspread.sidecar.engine import Engine
-from wickspread.sidecar.listing import Directory
+from wickspread.roster.listing import Directory
 
 
 class Sources:
--- a/wickspread/operations/door.py
+++ b/wickspread/operations/door.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping
 from typing import cast
 
-from wickspread.sidecar.config import Address
+from wickspread.engine.address import Address
 
 log = logging.getLogger("wickspread")
 
--- a/wickspread/operations/hand.py
+++ b/wickspread/operations/hand.py
@@ -7,13 +7,13 @@
 from typing import Protocol
 
 from wickspread.decisions import interface as api
+from wickspread.engine.engine import Engine
+from wickspread.engine.seams import Host
 from wickspread.operations.door import Call, CallError
 from wickspread.operations.handover import Handover
 from wickspread.operations.memory import Memory
 from wickspread.operations.suspended import Suspended, Unknown
-from wickspread.sidecar.engine import Engine
-from wickspread.sidecar.listing import Directory
-from wickspread.sidecar.upstream import Host
+from wickspread.roster.listing import Directory
 
 log = logging.getLogger("wickspread")
 
--- a/wickspread/operations/memory.py
+++ b/wickspread/operations/memory.py
@@ -6,9 +6,9 @@
 import logging
 
 from wickspread.decisions import interface as api
+from wickspread.engine.engine import Engine
 from wickspread.operations.handover import Handover
-from wickspread.sidecar.engine import Engine
-from wickspread.sidecar.listing import Directory
+from wickspread.roster.listing import Directory
 
 log = logging.getLogger("wickspread")
 
--- a/wickspread/operator/file.py
+++ b/wickspread/operator/file.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field, fields
 from typing import Any, TypeVar
 
-from wickspread.sidecar.config import ConfigError, parse_address
+from wickspread.engine.address import AddressError, parse_address
 
 VARIABLE = "WICKSPREAD_OPERATOR"
 MOST_BYTES = 1024 * 1024
@@ -23,7 +23,7 @@
 Table = TypeVar("Table")
 
 
-class OperatorError(ConfigError):
+class OperatorError(Exception):
     """The operator file can't be used; the text is one line and names the key."""
 
 
@@ -191,7 +191,7 @@
     for number, one in enumerate(etcd.endpoints):
         try:
             parse_address(one)
-        except ConfigError as error:
+        except AddressError as error:
             raise OperatorError(f"membership.etcd.endpoints: the entry {number + 1}: {error}") from error
     if not etcd.prefix:
         raise OperatorError("membership.etcd.prefix: expected a prefix, got ''")
@@ -208,7 +208,7 @@
         if one or key == "seeds":
             try:
                 parse_address(one)
-            except ConfigError as error:
+            except AddressError as error:
                 raise OperatorError(f"gossip.{key}: {error}") from error
     reached = gossip.advertise or gossip.bind
     literal = reached[:1].isdigit() or reached.startswith("[")
--- /dev/null
+++ b/wickspread/roster/__init__.py
@@ -0,0 +1,1 @@
+"""The list of upstreams, as the platform tells it."""
--- a/wickspread/sidecar/discovery.py
+++ b/wickspread/roster/discovery.py
@@ -7,15 +7,16 @@
 import sys
 from collections import deque
 from collections.abc import Iterable, Iterator
-from typing import Protocol, cast
+from typing import cast
 
 import httptools
 
 from wickspread.decisions import interface as api
-from wickspread.sidecar.collector import Collector
-from wickspread.sidecar.config import Address
-from wickspread.sidecar.listing import SLICE, Directory, ListError, Reading, changes
-from wickspread.sidecar.upstream import MAX_HEAD, Host
+from wickspread.engine.address import Address
+from wickspread.engine.collector import Collector
+from wickspread.engine.seams import Host, Sink
+from wickspread.http1.upstream import MAX_HEAD
+from wickspread.roster.listing import SLICE, Directory, ListError, Reading, changes
 
 log = logging.getLogger("wickspread")
 
@@ -26,14 +27,6 @@
 STEP_S = 0.003  # a large list holds the loop for about so long before others have their turn
 RETRY_S = 0.25  # where lists are pushed, the agent is on this machine and costs nothing to ask
 
-class Sink(Protocol):
-    def list_changed(self, kind: api.ListKind, hosts: list[Host], version: int) -> None: ...
-
-    def list_failed(self) -> None: ...
-
-    def known(self) -> dict[int, Host]: ...
-
-
 class Discovery:
     """Carries out Subscribe and FetchList: each call is answered by one event. When a call is made anew is
     for the decisions to say, but where lists are pushed: there no call is theirs."""
--- a/wickspread/sidecar/listing.py
+++ b/wickspread/roster/listing.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from wickspread.decisions import interface as api
-from wickspread.sidecar.config import ConfigError, parse_address
-from wickspread.sidecar.upstream import Host
+from wickspread.engine.address import parse_address
+from wickspread.engine.seams import Host
 
 SLICE = 64  # entries that are read, or told to the decisions, in one go
 MOST_HOSTS = 50_000  # entries of one list
@@ -121,8 +121,7 @@
                 raise
             if isinstance(error, KeyError):
                 raise ListError(f"{error} is missing") from error
-            if isinstance(error, TypeError | ValueError | AttributeError | OverflowError | RecursionError
-                          | ConfigError):
+            if isinstance(error, TypeError | ValueError | AttributeError | OverflowError | RecursionError):
                 raise ListError(" ".join(str(error).split())[:200]) from error
             raise
 
--- a/wickspread/sidecar/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real sidecar: sockets round the decision module. No decision is made here."""
