The operator file by schema: config check, show and a reference page that is held true

Types and limits of the operator file were checked by hand, said in two places, and no page had all keys. Each table is a msgspec Struct now; what was expected, what was got, what holds and the page docs/operate/operator.md come from it. The one line that names the key stays, with the limits for wrong types too. Every key is refused in seven wrong forms; what show prints reads back as the same file (property).

--- a/benchmarks/grpc.py
+++ b/benchmarks/grpc.py
@@ -227,7 +227,7 @@
     from wickspread.grpc.start import start
     from wickspread.http1.server import Server
     from wickspread.http1.upstream import Pool
-    from wickspread.operator.file import Grpc
+    from wickspread.operator.schema import Grpc
 
     class Quiet:
         def subscribe(self, active: bool) -> None: ...
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -78,7 +78,7 @@
     engine = Engine(told, 1, clock, Pool(0.2, 5.0, 104), Quiet())
     before = memory_mb()
     from wickspread.membership.start import Sources
-    from wickspread.operator.file import Etcd, Membership
+    from wickspread.operator.schema import Etcd, Membership
     sources = Sources(Membership(Etcd(tuple(addresses), "/n/")), engine, directory, 1)
     found: dict[str, Any] = {"memory of the libraries, MB": round(memory_mb() - before, 1)}
     began = time.monotonic()
--- a/tests/grpc/rig.py
+++ b/tests/grpc/rig.py
@@ -30,7 +30,7 @@
     TrailersReceived,
 )
 from wickspread.http2.guard import Rates
-from wickspread.operator.file import Grpc
+from wickspread.operator.schema import Grpc
 
 LONG_S = 20.0
 OPEN = Limits(streams=10_000, window=1 << 20, connection_window=1 << 28, header_bytes=1 << 20, unsent=1 << 28,
--- a/tests/grpc/test_front.py
+++ b/tests/grpc/test_front.py
@@ -28,7 +28,7 @@
 from wickspread.grpc.message import framed
 from wickspread.grpc.status import Code
 from wickspread.http2.connection import DataReceived, StreamReset
-from wickspread.operator.file import Grpc
+from wickspread.operator.schema import Grpc
 
 REQUEST = (b"\x83\x86\x44\x09/t.T/Read\x41\x01a\x5f\x10application/grpc\x40\x02te\x08trailers")
 
--- a/tests/grpc/test_hard_cases.py
+++ b/tests/grpc/test_hard_cases.py
@@ -23,7 +23,7 @@
 from wickspread.grpc.message import framed
 from wickspread.grpc.status import Code
 from wickspread.http2.connection import DataReceived, Limits, StreamReset
-from wickspread.operator.file import Grpc
+from wickspread.operator.schema import Grpc
 
 O = api.Outcome  # noqa: E741
 
--- a/tests/membership/test_etcd.py
+++ b/tests/membership/test_etcd.py
@@ -22,7 +22,7 @@
 from wickspread.membership.etcd.source import Source
 from wickspread.membership.merge import Merge
 from wickspread.membership.model import Entry
-from wickspread.operator.file import Etcd
+from wickspread.operator.schema import Etcd
 
 DRAINING, READY = UpstreamState.DRAINING, UpstreamState.READY
 
--- a/tests/operator/test_file.py
+++ b/tests/operator/test_file.py
@@ -13,13 +13,15 @@
 from hypothesis import strategies as st
 
 from wickspread.lab.scene import Plan, settings
-from wickspread.operator.file import Grpc, Operator, OperatorError, load, read
+from wickspread.operator.error import OperatorError
+from wickspread.operator.file import load
+from wickspread.operator.reading import read
+from wickspread.operator.schema import Grpc, Operator
 
 
 def test_without_a_file_all_is_off() -> None:
-    assert load({}) == Operator()
-    assert load({"WICKSPREAD_OPERATOR": ""}) == Operator()
-    assert not read("").grpc.enabled
+    assert load({}) is None and load({"WICKSPREAD_OPERATOR": ""}) is None
+    assert read("") == Operator() and not read("").grpc.enabled
 
 
 def test_a_whole_table() -> None:
@@ -35,13 +37,13 @@
     ("grpc = 1", "grpc: expected a table, got 1"),
     ("[grpc]\nenable = true", "grpc.enable: unknown; expected one of enabled, "),
     ("[grpc]\nenabled = 1", "grpc.enabled: expected true or false, got 1"),
-    ("[grpc]\nstreams = true", "grpc.streams: expected a whole number, got True"),
-    ("[grpc]\nstreams = 1.0", "grpc.streams: expected a whole number, got 1.0"),
-    ("[grpc]\nstreams = 0", "grpc.streams: expected 1 to 10000, got 0"),
-    ("[grpc]\nidle_s = nan", "grpc.idle_s: expected 0.1 to 86400, got nan"),
-    ("[grpc]\nidle_s = '1'", "grpc.idle_s: expected a number, got '1'"),
-    ("[grpc]\nprobe = 'tcp'", "grpc.probe: expected 'http' or 'grpc', got 'tcp'"),
-    ("[grpc]\nmethods = []", "grpc.methods: expected a table, got []"),
+    ("[grpc]\nstreams = true", "grpc.streams: expected a whole number from 1 to 10000, got True"),
+    ("[grpc]\nstreams = 1.0", "grpc.streams: expected a whole number from 1 to 10000, got 1.0"),
+    ("[grpc]\nstreams = 0", "grpc.streams: expected a whole number from 1 to 10000, got 0"),
+    ("[grpc]\nidle_s = nan", "grpc.idle_s: expected a number from 0.1 to 86400, got nan"),
+    ("[grpc]\nidle_s = '1'", "grpc.idle_s: expected a number from 0.1 to 86400, got '1'"),
+    ("[grpc]\nprobe = 'tcp'", "grpc.probe: expected 'grpc' or 'http', got 'tcp'"),
+    ("[grpc]\nmethods = []", "grpc.methods: expected a table of at most 10000 texts, got []"),
     ("[grpc.methods]\n'/a.B/C' = 1", "grpc.methods.'/a.B/C': expected a text, got 1"),
     ("[grpc.methods]\n'a.B/C' = 'x'", "grpc.methods.'a.B/C': expected /package.Service/Method"),
     ("[grpc.methods]\n'/a.B/' = 'x'", "grpc.methods.'/a.B/': expected /package.Service/Method"),
@@ -97,8 +99,8 @@
 
 def test_without_a_table_nothing_of_its_subsystem_is_imported(tmp_path: Path) -> None:
     """The sidecar's wiring, with everything that it imports at its start."""
-    code = ("import sys, wickspread.daemon.__main__; "
-            "print([name for name in sys.modules if name.split('.')[0] in ('ngh2', 'grpc', 'h2', 'nacl')"
+    code = ("import sys, wickspread.daemon.__main__; libraries = ('ngh2', 'grpc', 'h2', 'nacl', 'msgspec'); "
+            "print([name for name in sys.modules if name.split('.')[0] in libraries"
             " or name.startswith(('wickspread.grpc', 'wickspread.http2', 'wickspread.gossip'))])")
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60)
     assert done.stdout.strip() == "[]", done.stdout + done.stderr
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -28,7 +28,7 @@
                "operator", "roster"},
     "lab": {"compiled", "decisions", "gossip", "grpc", "http2", "membership"},
     "compiled": set(),
-    "__main__": {"daemon", "gossip", "lab", "membership"},
+    "__main__": {"daemon", "gossip", "lab", "membership", "operator"},
     "": {"compiled"},
 }
 
--- a/wickspread/__main__.py
+++ b/wickspread/__main__.py
@@ -14,6 +14,7 @@
   check FILE       read a ledger that `lab --ledger` wrote, for the four rules
   members SOCKET   what each source says of each node, from a running sidecar (membership.socket)
   gossip COMMAND   keys and certificates of gossip, and what a running sidecar knows of the others
+  config COMMAND   check or show an operator file, or print the page of all its keys
   run              one real sidecar, told by PROXY_*; as deploy/balancer.toml starts it
 """
 
@@ -75,6 +76,11 @@
         from wickspread.gossip import command as gossip
 
         return gossip.main(arguments)
+    if command == "config":
+        enter_built()
+        from wickspread.operator import command as config
+
+        return config.main(arguments)
     if command == "run":
         enter_built()
         from wickspread.daemon.__main__ import main as run
--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -9,12 +9,13 @@
 import signal
 import sys
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import uvloop
 
 from wickspread import compiled
 from wickspread.daemon import config as configuration
-from wickspread.daemon.subsystems import Context, close_all, start_wanted
+from wickspread.daemon.subsystems import Context, Running, close_all, start_wanted
 from wickspread.decisions import interface as api
 from wickspread.engine.bodies import Spool
 from wickspread.engine.collector import Collector
@@ -25,9 +26,13 @@
 from wickspread.operations.hand import Hand
 from wickspread.operations.handover import Handover
 from wickspread.operator import file as operators
+from wickspread.operator.error import OperatorError
 from wickspread.roster.discovery import Discovery
 from wickspread.roster.listing import Directory, ListError
 
+if TYPE_CHECKING:
+    from wickspread.operator.schema import Operator
+
 log = logging.getLogger("wickspread")
 
 OWN_MB = 40  # what a process needs without any large body
@@ -40,7 +45,7 @@
     return max(1, (memory_mb - OWN_MB) // 4) * 1024 * 1024
 
 
-async def serve(config: configuration.Config, operator: operators.Operator) -> None:
+async def serve(config: configuration.Config, operator: Operator | None) -> None:
     settings, clock = config.settings, Clock()
     directory = Directory(settings)
     version, _, known = directory.read(config.known)
@@ -51,14 +56,15 @@
     engine = Engine(settings, config.seed, clock, pool, discovery)
     discovery.sink = engine
     server = Server(engine, share, Spool(spool_bytes(config.memory_mb)))
-    context = Context(config, operator, engine, directory, server, discovery)
     hand, door = None, None
     if config.door is not None or config.accept_fd is not None:
         hand = Hand(engine, directory, server, Handover.of(os.environ))
     if config.door is not None and hand is not None:
         door = Door(hand.calls())
         await door.open(config.door)
-    running = await start_wanted(context)
+    running: list[Running] = []
+    if operator is not None:
+        running = await start_wanted(Context(config, operator, engine, directory, server, discovery))
     log.info("runs %s", compiled.state)
     assert discovery.sink is not None
     discovery.sink.list_changed(api.ListKind.CACHED, known, version)
@@ -109,7 +115,7 @@
     logging.basicConfig(format="wickspread: %(message)s", level=logging.INFO)
     try:
         uvloop.run(serve(configuration.load(os.environ), operators.load(os.environ)))
-    except (configuration.ConfigError, operators.OperatorError, ListError) as error:
+    except (configuration.ConfigError, OperatorError, ListError) as error:
         print(f"wickspread: {error}", file=sys.stderr)
         return 2
     except OSError as error:
--- a/wickspread/daemon/subsystems.py
+++ b/wickspread/daemon/subsystems.py
@@ -9,15 +9,18 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from wickspread.daemon.config import Config
 from wickspread.engine.engine import Engine
 from wickspread.http1.listener import Listener
-from wickspread.operator.file import Operator, OperatorError
+from wickspread.operator.error import OperatorError
 from wickspread.roster.discovery import Discovery
 from wickspread.roster.listing import Directory
 
+if TYPE_CHECKING:
+    from wickspread.operator.schema import Operator
+
 
 @dataclass(slots=True, frozen=True)
 class Context:
--- a/wickspread/gossip/credentials.py
+++ b/wickspread/gossip/credentials.py
@@ -10,7 +10,7 @@
 
 from wickspread.gossip import files
 from wickspread.gossip.codec import Certificate
-from wickspread.operator.file import Gossip
+from wickspread.operator.schema import Gossip
 
 SOON_S = 3 * 86_400  # a certificate that ends within it is spoken of
 AGAIN_S = 6 * 3600  # and then now and then
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -19,7 +19,8 @@
 from wickspread.gossip.keys import Keyring
 from wickspread.gossip.transport import Transport, log, wall_us
 from wickspread.membership.show import listen
-from wickspread.operator.file import Gossip, OperatorError
+from wickspread.operator.error import OperatorError
+from wickspread.operator.schema import Gossip
 from wickspread.roster.listing import Directory
 
 LOOK_S = 1.0  # between looks at the files
--- a/wickspread/grpc/start.py
+++ b/wickspread/grpc/start.py
@@ -10,7 +10,8 @@
 from wickspread.grpc.nodes import Nodes
 from wickspread.grpc.probe import probe
 from wickspread.http1.listener import Listener
-from wickspread.operator.file import Grpc, OperatorError
+from wickspread.operator.error import OperatorError
+from wickspread.operator.schema import Grpc
 
 
 def start(told: Grpc, engine: Engine, server: Listener) -> Nodes:
--- a/wickspread/membership/etcd/source.py
+++ b/wickspread/membership/etcd/source.py
@@ -34,7 +34,7 @@
 from wickspread.membership.etcd import api_pb2 as pb
 from wickspread.membership.etcd import follower as following
 from wickspread.membership.model import Entry
-from wickspread.operator.file import Etcd
+from wickspread.operator.schema import Etcd
 
 log = logging.getLogger("wickspread")
 
--- a/wickspread/membership/start.py
+++ b/wickspread/membership/start.py
@@ -7,7 +7,8 @@
 from wickspread.engine.engine import Engine
 from wickspread.membership.feed import Feed
 from wickspread.membership.show import Window
-from wickspread.operator.file import Membership, OperatorError
+from wickspread.operator.error import OperatorError
+from wickspread.operator.schema import Membership
 from wickspread.roster.listing import Directory
 
 
