A flight recorder of the decisions: replay to the last action, and why REQUEST

What a sidecar had decided, and why, could only be guessed from its log. [recorder] (off by default) keeps every event into the decisions and every action out of them in a ring of bounded memory, packed, and writes it out at SIGUSR2 or when the decisions have failed. 'why' tells one request's story by its Req-Id. A ring that has lost its start can't be played again and says so; its stories are there. Cut off, damaged, of another version or unpacking without end: one line, exit 2.

--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -1,6 +1,7 @@
 """CPU time of the whole sidecar for one request, compiled and from its sources, against a bare pass-through.
 
     python -m benchmarks.sidecar [--requests 6000] [--sizes 16,256,1000] [--rates 500,2000] [--profile FILE]
+        [--recorder]
 
 Nodes that answer at once, in a process of their own; a closed loop of 8 clients; the CPU time of the process
 under test from /proc. Rounds take turns, and the median of what each turn gave is shown, in us and against
@@ -113,7 +114,7 @@
     return sorted(took_ms)
 
 
-async def measure(size: int, requests: int, rates: list[float], profile: str | None,
+async def measure(size: int, requests: int, rates: list[float], profile: str | None, recorder: bool,
                   ) -> tuple[dict[str, list[float]], Counter[int], list[tuple[float, str, list[float]]]]:
     """CPU us a request of each process under test, by turn; the sidecars' statuses; at each rate what each
     request took."""
@@ -135,6 +136,9 @@
                       Process("compiled", config, folder, ["-B", *module, "wickspread.daemon"]),
                       Process("sources", config, folder, ["-B", "-m", "wickspread.daemon"])]
         under_test[2].env = {"WICKSPREAD_PURE": "1"}
+        if recorder:
+            under_test.append(Process("recorded", config, folder, ["-B", "-m", "wickspread.daemon"]))
+            under_test[3].operator = "[recorder]\nenabled = true\n"
         costs: dict[str, list[float]] = {one.name: [] for one in under_test}
         statuses: Counter[int] = Counter()
         for one in under_test:
@@ -168,9 +172,10 @@
           f"{'compiled us':>12} {'times':>6}  statuses")
     for size in map(int, arguments.sizes.split(",")):
         rates = [float(rate) for rate in arguments.rates.split(",") if rate]
-        costs, statuses, times = await measure(size, arguments.requests, rates, arguments.profile)
+        costs, statuses, times = await measure(size, arguments.requests, rates, arguments.profile,
+                                               arguments.recorder)
         bare, cells = costs["passthrough"], []
-        for name, width in (("sources", 11), ("compiled", 12)):
+        for name, width in (("sources", 11), ("compiled", 12), ("recorded", 12))[:2 + arguments.recorder]:
             ratio = statistics.median(one / base for one, base in zip(costs[name], bare, strict=True))
             cells.append(f"{statistics.median(costs[name]):>{width}.0f} {ratio:>6.1f}")
         print(f"{size:>10} {statistics.median(bare):>16.0f} {' '.join(cells)}  {dict(statuses)}", flush=True)
@@ -186,6 +191,7 @@
     parser.add_argument("--sizes", default="16,256,1000")
     parser.add_argument("--rates", default="500,2000", help="requests a second for the times; '' for none")
     parser.add_argument("--profile", help="run the sidecar under cProfile and write this file")
+    parser.add_argument("--recorder", action="store_true", help="and compiled with the recorder on, last")
     parser.add_argument("--nodes", type=int, help="be the nodes' process")
     found = parser.parse_args()
     uvloop.run(serve_nodes(found.nodes) if found.nodes else main(found))
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -24,11 +24,12 @@
     "grpc": {"decisions", "engine", "http1", "http2", "operator"},
     "membership": {"decisions", "engine", "grpc", "http2", "operator", "roster"},
     "gossip": {"decisions", "engine", "membership", "operator", "roster"},
+    "recorder": {"decisions", "engine", "operator"},
     "daemon": {"compiled", "decisions", "engine", "gossip", "grpc", "http1", "membership", "operations",
-               "operator", "roster"},
+               "operator", "recorder", "roster"},
     "lab": {"compiled", "decisions", "gossip", "grpc", "http2", "membership"},
     "compiled": set(),
-    "__main__": {"daemon", "gossip", "lab", "membership", "operator"},
+    "__main__": {"daemon", "gossip", "lab", "membership", "operator", "recorder"},
     "": {"compiled"},
 }
 
--- a/wickspread/__main__.py
+++ b/wickspread/__main__.py
@@ -15,6 +15,8 @@
   members SOCKET   what each source says of each node, from a running sidecar (membership.socket)
   gossip COMMAND   keys and certificates of gossip, and what a running sidecar knows of the others
   config COMMAND   check or show an operator file, or print the page of all its keys
+  replay FILE      play a recording (recorder.enabled) to the decisions again, and say where they differ
+  why FILE REQUEST one request's story, from a recording
   run              one real sidecar, told by PROXY_*; as deploy/balancer.toml starts it
 """
 
@@ -81,6 +83,11 @@
         from wickspread.operator import command as config
 
         return config.main(arguments)
+    if command in ("replay", "why"):
+        enter_built()
+        from wickspread.recorder import command as recorder
+
+        return recorder.main(command, arguments)
     if command == "run":
         enter_built()
         from wickspread.daemon.__main__ import main as run
--- a/wickspread/daemon/subsystems.py
+++ b/wickspread/daemon/subsystems.py
@@ -48,6 +48,12 @@
     start: Callable[[Context], Awaitable[Running]]  # raises OperatorError for what the file says wrong
 
 
+async def start_recorder(context: Context) -> Running:
+    from wickspread.recorder.start import Recorder
+
+    return Recorder(context.operator.recorder, context.engine, context.config.name, context.config.seed)
+
+
 async def start_grpc(context: Context) -> Running:
     from wickspread.grpc.start import start
 
@@ -73,6 +79,8 @@
 
 # In the order of their start; they end in the other one.
 ALL = (
+    # hazard: before all that may tell the decisions something, or a recording would not begin at their start
+    Subsystem("recorder.enabled", "sidecar", lambda told: told.recorder.enabled, start_recorder),
     Subsystem("grpc.enabled", "grpc", lambda told: told.grpc.enabled, start_grpc),
     Subsystem("membership.etcd", "etcd",
               lambda told: bool(told.membership.etcd.endpoints or told.membership.socket), start_membership),
--- a/wickspread/engine/engine.py
+++ b/wickspread/engine/engine.py
@@ -19,7 +19,18 @@
 from wickspread.decisions.settings import check_allowed, parse_report
 from wickspread.engine.bodies import KEEP, Flow, Source
 from wickspread.engine.figures import Figures
-from wickspread.engine.seams import Answer, Attempt, Call, Decisions, Discovery, Finished, Host, Nodes, Reply
+from wickspread.engine.seams import (
+    Answer,
+    Attempt,
+    Call,
+    Decisions,
+    Discovery,
+    Finished,
+    Host,
+    Nodes,
+    Recorder,
+    Reply,
+)
 from wickspread.engine.timers import Timer, Timers
 
 log = logging.getLogger("wickspread")
@@ -67,7 +78,8 @@
         self.discovery = discovery
         self.loop = asyncio.get_running_loop()
         self.timers = Timers(self.loop)
-        self.balancer: Decisions = Balancer(settings, seed, clock.now_us())
+        self.started_us = clock.now_us()
+        self.balancer: Decisions = Balancer(settings, seed, self.started_us)
         self.requests: dict[int, Entry] = {}
         self.next_request = 1
         self.events: deque[api.Event] = deque()
@@ -76,6 +88,7 @@
         self.figures = Figures(one.name for one in settings.classes)
         self.listed = asyncio.Event()  # discovery has told a list, or a part of one
         self.observe: Callable[[int, api.Outcome], None] | None = None  # who hears how each attempt ended
+        self.recorder: Recorder | None = None
         self.hold: Callable[[list[Host]], None] | None = None  # by operators' hands: may make entries drain
 
     # From the application
@@ -87,6 +100,8 @@
         self.figures.taken()
         # hazard: whatever the decisions do, the client is answered inside its time
         entry.guard = self.later(call.due_us, self.overdue, ident)
+        if self.recorder is not None:
+            self.recorder.named(ident, call.ident)
         self.tell(api.RequestArrived(ident, call.due_us, call.class_index, call.tenant, call.key,
                                      call.cost_us, call.retried))
         return ident
@@ -155,14 +170,19 @@
             self.handling = False
 
     def handle(self, event: api.Event) -> None:
+        now_us = self.clock.now_us()
         try:
-            actions = self.balancer.handle(self.clock.now_us(), event)
-        except Exception:
+            actions = self.balancer.handle(now_us, event)
+        except Exception as error:
             # hazard: a fault in the decisions costs the request that it met, never the sidecar
             log.exception("the decisions failed on %s", type(event).__name__)
+            if self.recorder is not None:
+                self.recorder.failed(now_us, event, error)
             if isinstance(event, api.RequestArrived | api.AttemptEnded | api.StreamStarted):
                 self.give_up(event.request)
             return
+        if self.recorder is not None:
+            self.recorder.handled(now_us, event, actions)
         for action in actions:
             try:
                 self.perform(action)
--- a/wickspread/engine/seams.py
+++ b/wickspread/engine/seams.py
@@ -150,6 +150,16 @@
     def known(self) -> dict[int, Host]: ...
 
 
+class Recorder(Protocol):
+    """Who keeps what goes into the decisions and what comes out. None of it raises, or takes long."""
+
+    def named(self, request: int, ident: bytes) -> None: ...
+
+    def handled(self, now_us: int, event: api.Event, actions: list[api.Action]) -> None: ...
+
+    def failed(self, now_us: int, event: api.Event, error: Exception) -> None: ...
+
+
 class Decisions(Protocol):
     """What of the decision module is called by the engine, and nowhere else."""
 
--- a/wickspread/operator/schema.py
+++ b/wickspread/operator/schema.py
@@ -79,9 +79,20 @@
         0, 100_000, "never fewer to the decisions; 0 = the settings' number")] = 0
 
 
+class Recorder(Table, frozen=True):
+    """What went into the decisions and what came out, the last of it: for `replay` and `why`."""
+
+    enabled: Annotated[bool, said("whether it is kept")] = False
+    megabytes: Annotated[int, number(1, 4096, "of memory for it; a step takes some 30 bytes")] = 8
+    folder: Annotated[Text, said(
+        'where SIGUSR2, and a fault of the decisions, write it to; "" = the system\'s own')] = ""
+    files: Annotated[int, number(1, 1000, "recordings of one sidecar that are kept there")] = 4
+
+
 class Operator(Table, frozen=True):
     """The whole file."""
 
     grpc: Grpc = field(default_factory=Grpc)
     membership: Membership = field(default_factory=Membership)
     gossip: Gossip = field(default_factory=Gossip)
+    recorder: Recorder = field(default_factory=Recorder)
--- /dev/null
+++ b/wickspread/recorder/replay.py
@@ -0,0 +1,37 @@
+"""A recording played to the decisions again: the same seed and events make the same actions, to the last."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from wickspread.decisions.balance import Balancer
+from wickspread.recorder.frames import Frame, Named
+from wickspread.recorder.recording import Head
+
+
+@dataclass(slots=True, frozen=True)
+class Difference:
+    """A step at which these decisions do otherwise."""
+
+    step: int  # from 1
+    frame: Frame
+    now: list[Any] | str  # what came of it now, or the fault
+
+
+def differences(head: Head, frames: Iterator[Frame]) -> Iterator[tuple[int, Difference | None]]:
+    """Each step, with its difference if it has one. After the first, the rest is of another state."""
+    decisions = Balancer(head.settings, head.seed, head.started_us)
+    step = 0
+    for frame in frames:
+        if isinstance(frame.event, Named):
+            continue
+        step += 1
+        now: list[Any] | str
+        try:
+            now = decisions.handle(frame.now_us, frame.event)
+        except Exception as error:
+            now = f"{type(error).__name__}: {error}"
+        then = frame.fault or frame.actions
+        yield step, None if now == then else Difference(step, frame, now)
--- /dev/null
+++ b/wickspread/recorder/start.py
@@ -0,0 +1,104 @@
+"""Records a running sidecar: a ring in memory, written out by SIGUSR2 and when the decisions have failed."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+from wickspread.decisions import interface as api
+from wickspread.engine.engine import Engine
+from wickspread.operator.error import OperatorError
+from wickspread.operator.schema import Recorder as Told
+from wickspread.recorder.frames import Named, pack
+from wickspread.recorder.recording import Head, digest, write
+from wickspread.recorder.ring import Ring
+
+log = logging.getLogger("wickspread")
+
+FAULT_GAP_S = 60.0  # between two recordings that faults have caused
+
+
+class Recorder:
+    """The engine's observer. Hazard: it is on the way of every request; a fault here ends the recording,
+    never a request."""
+
+    def __init__(self, told: Told, engine: Engine, name: str, seed: int) -> None:
+        """Raises OperatorError."""
+        self.folder = told.folder or tempfile.gettempdir()
+        if not os.access(self.folder, os.W_OK | os.X_OK):
+            raise OperatorError(f"recorder.folder: {self.folder}: can't be written to")
+        self.told = told
+        self.engine = engine
+        self.name = "".join(one if one.isalnum() else "-" for one in name)[:40]
+        self.seed = seed
+        self.digest = digest()
+        self.ring = Ring(told.megabytes * 1024 * 1024)
+        self.next_fault = 0.0
+        self.tasks: set[asyncio.Task[None]] = set()
+        engine.recorder = self
+        engine.loop.add_signal_handler(signal.SIGUSR2, self.write_out, "SIGUSR2")
+
+    def handled(self, now_us: int, event: api.Event, actions: list[api.Action]) -> None:
+        try:
+            self.ring.add(pack(now_us, event, actions))
+        except Exception:
+            self.give_up()
+
+    def named(self, request: int, ident: bytes) -> None:
+        try:
+            told = Named(request, ident.decode("ascii", "replace"))
+            self.ring.add(pack(self.engine.clock.now_us(), told, []))
+        except Exception:
+            self.give_up()
+
+    def failed(self, now_us: int, event: api.Event, error: Exception) -> None:
+        try:
+            self.ring.add(pack(now_us, event, [], f"{type(error).__name__}: {error}"))
+        except Exception:
+            self.give_up()
+        now = self.engine.loop.time()
+        if now >= self.next_fault:
+            self.next_fault = now + FAULT_GAP_S
+            self.write_out("a fault of the decisions")
+
+    def give_up(self) -> None:
+        self.engine.recorder = None
+        log.exception("recorder: no more is recorded")
+
+    def write_out(self, why: str) -> None:
+        """Beside the loop: some megabytes take the disk a while."""
+        if len(self.tasks) >= 2:
+            log.warning("recorder: two recordings are being written; this one is not")
+            return
+        segments, engine = self.ring.taken(), self.engine
+        head = Head(self.name, self.digest, self.seed, engine.started_us, engine.settings, self.ring.whole,
+                    why)
+        task = engine.loop.create_task(self.save(head, segments, self.ring.frames))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def save(self, head: Head, segments: list[bytes], frames: int) -> None:
+        path = os.path.join(self.folder, f"wickspread-{self.name}-{time.time_ns() // 1_000_000}.rec")
+        try:
+            await self.engine.loop.run_in_executor(None, write, path, head, segments)
+            await self.engine.loop.run_in_executor(None, self.tidy)
+        except OSError as error:
+            log.warning("recorder: %s: %s", path, error.strerror or error)
+            return
+        log.info("recorder: %s: %d steps, %s (%s)", path, frames,
+                 "from the start" if head.whole else "the last of them", head.why)
+
+    def tidy(self) -> None:
+        """Only the last few recordings of this sidecar are kept."""
+        found = sorted(Path(self.folder).glob(f"wickspread-{self.name}-*.rec"))
+        for path in found[:-self.told.files]:
+            path.unlink(missing_ok=True)
+
+    def close(self) -> None:
+        self.engine.recorder = None
+        self.engine.loop.remove_signal_handler(signal.SIGUSR2)
