--- a/wickspread/recorder/start.py
+++ b/wickspread/recorder/start.py
@@ -90,7 +90,7 @@
         except OSError as error:
             log.warning("recorder: %s: %s", path, error.strerror or error)
             return
-        log.info("recorder: %s: %d steps, %s (%s)", path, frames,
+        log.info("recorder: %s: %d frames, %s (%s)", path, frames,
                  "from the start" if head.whole else "the last of them", head.why)
 
     def tidy(self) -> None:
