One place keeps a recorder's frame and its faults; a node's name is measured once

The recorder had the same attempt and the same way to give up three times, and gossip's start measured a node's name that its own counts measure again. Behaviour is unchanged.

--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -12,7 +12,6 @@
 from wickspread.decisions import interface as api
 from wickspread.engine.address import parse_address
 from wickspread.engine.engine import Engine
-from wickspread.gossip.codec import MOST_NAME
 from wickspread.gossip.credentials import Credentials, Watch
 from wickspread.gossip.files import FileError
 from wickspread.gossip.instance import Instance, Sized, Suspect
@@ -81,7 +80,7 @@
         never a request."""
         name = self.directory.names.get(upstream)
         entry = self.engine.balancer.entries.get(upstream)
-        if name is None or entry is None or self.transport is None or len(name) > MOST_NAME:
+        if name is None or entry is None or self.transport is None:
             return
         try:
             outputs = self.transport.instance.attempt(name, entry.started_us // 1000, outcome,
--- a/wickspread/recorder/start.py
+++ b/wickspread/recorder/start.py
@@ -43,33 +43,26 @@
         engine.recorder = self
         engine.loop.add_signal_handler(signal.SIGUSR2, self.write_out, "SIGUSR2")
 
-    def handled(self, now_us: int, event: api.Event, actions: list[api.Action]) -> None:
+    def keep(self, now_us: int, event: object, actions: list[api.Action], fault: str = "") -> None:
         try:
-            self.ring.add(pack(now_us, event, actions))
+            self.ring.add(pack(now_us, event, actions, fault))
         except Exception:
-            self.give_up()
+            self.engine.recorder = None
+            log.exception("recorder: no more is recorded")
+
+    def handled(self, now_us: int, event: api.Event, actions: list[api.Action]) -> None:
+        self.keep(now_us, event, actions)
 
     def named(self, request: int, ident: bytes) -> None:
-        try:
-            told = Named(request, ident.decode("ascii", "replace"))
-            self.ring.add(pack(self.engine.clock.now_us(), told, []))
-        except Exception:
-            self.give_up()
+        self.keep(self.engine.clock.now_us(), Named(request, ident.decode("ascii", "replace")), [])
 
     def failed(self, now_us: int, event: api.Event, error: Exception) -> None:
-        try:
-            self.ring.add(pack(now_us, event, [], f"{type(error).__name__}: {error}"))
-        except Exception:
-            self.give_up()
+        self.keep(now_us, event, [], f"{type(error).__name__}: {error}")
         now = self.engine.loop.time()
         if now >= self.next_fault:
             self.next_fault = now + FAULT_GAP_S
             self.write_out("a fault of the decisions")
 
-    def give_up(self) -> None:
-        self.engine.recorder = None
-        log.exception("recorder: no more is recorded")
-
     def write_out(self, why: str) -> None:
         """Beside the loop: some megabytes take the disk a while."""
         if len(self.tasks) >= 2:
