--- a/tests/options.py
+++ b/tests/options.py
@@ -68,4 +68,5 @@
 value-by=request
 weights=none
 fees.cross-zone=0.03
+fees.probe=0.004
 """
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.world import World, settings, upstreams
+from wickspread.decisions.balance import PROBE_GAINS
 from wickspread.decisions.interface import (
     Fail,
     Log,
@@ -555,6 +556,13 @@
     assert len(world.sends(world.arrive(READ))) == 1
 
 
+def test_load_is_not_asked_for_where_a_probe_costs_more_than_the_better_choice_gains() -> None:
+    for fee, sent in ((PROBE_GAINS / 2, 0), (PROBE_GAINS * 2, 1)):
+        world = asking_world({100: 40.0, 101: 0.0, 102: 40.0}, probe_fee=fee)
+        assert len(world.sends(world.arrive(READ))) == sent
+        assert any(isinstance(action, Probe) for action in world.log) == (sent == 0)
+
+
 def test_a_client_that_quits_while_load_is_asked_leaves_nothing_behind() -> None:
     world = asking_world({100: 1.0, 101: 1.0})
     request = world.arrive(READ)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -152,6 +152,7 @@
     assert settings.classes[2].memory_us == 1_200_000 and settings.classes[2].group == "cell"
     assert settings.tenants[1].allowance_per_s == 152.0 and settings.ask_within_us == 10_000_000
     assert settings.list_on_request and settings.second_copies and not settings.probes
+    assert settings.probe_fee == 0.004
 
 
 def test_report_names_are_translated_and_unknown_ones_kept() -> None:
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -21,6 +21,7 @@
 LEAST_LEARNT = 1 / 8  # what another process has learnt closes an upstream to no less
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
+PROBE_GAINS = 0.02  # points of the result that one probe a request can gain: dearer ones are not sent
 ANYWAY = 1 / 8  # of draws are blind to who fails, else one that failed would not be seen to be well again
 LOST = 3  # times its upstream's usual answer, from which one may be lost
 QUICK = 0.49  # of the slow time: upstreams whose usual answer is quicker have room for more
@@ -94,7 +95,8 @@
         self.requests: dict[int, Request] = {}
         self.buffer: Request | None = None
         self.asking: dict[int, Request] = {}  # those that wait to hear the load of a few upstreams
-        self.reports = settings.probes and "in_flight" in settings.report_names
+        self.reports = (settings.probes and "in_flight" in settings.report_names
+                        and settings.probe_fee <= PROBE_GAINS)
         self.fresh_us = min(c.aim_us for c in settings.classes) // 20  # a report counts so long
         self.half_aims_us = [c.aim_us // 2 for c in settings.classes]
         self.quickest_us = min(self.half_aims_us)
--- a/wickspread/decisions/interface.py
+++ b/wickspread/decisions/interface.py
@@ -117,6 +117,7 @@
     overload_factor: float = 1.0  # a cold upstream falls over at this multiple of its capacity
     fall_us: int = 0  # sustained for this long
     cross_zone_fee: float = 0.0
+    probe_fee: float = 0.0  # points of the result for one probe a request
     warm_keys: bool = False  # an upstream that has lately served a key serves it with less work
     report_names: list[str] = field(default_factory=list)
     weighted: bool = False  # the list's weights speak of size
@@ -135,7 +136,7 @@
         _require(0 < self.cold_share <= 1, "a cold_share above 0, at most 1", self.cold_share)
         _require(self.overload_factor > 0, "an overload_factor above 0", self.overload_factor)
         for name in ("zone", "tick_us", "max_retry_after_us", "connect_timeout_us", "ask_within_us",
-                     "warm_up_us", "fall_us", "cross_zone_fee", "idle_us", "probe_timeout_us",
+                     "warm_up_us", "fall_us", "cross_zone_fee", "probe_fee", "idle_us", "probe_timeout_us",
                      "most_upstreams"):
             _require(getattr(self, name) >= 0, f"a {name} of 0 or more", getattr(self, name))
 
--- a/wickspread/decisions/settings.py
+++ b/wickspread/decisions/settings.py
@@ -138,6 +138,7 @@
             overload_factor=o.number("invariants.overload-factor"),
             fall_us=o.whole("invariants.fall"),
             cross_zone_fee=o.number("fees.cross-zone", "0"),
+            probe_fee=o.number("fees.probe", "0"),
             warm_keys=o.flag("specifics.warm-keys", "false"),
             report_names=[REPORT_NAMES.get(name, name) for name in o.names("report.names")],
             weighted=o.text("weights", "none") in ("nominal", "rough"),
