--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -128,14 +128,14 @@
         assert busy_day(config, seed) == busy_day(config, seed)
 
 
-def pushed_share(skew: list[int], outcome: Outcome, all_cold: bool = False) -> float:
+def pushed_share(skew: list[int], outcome: Outcome, new: int = 1) -> float:
     """The most work that sidecars together send one cold upstream in any `fall_us`, over its budget there.
 
-    The upstream is new among nine; each has one core and serves in turn; requests take 40 ms when it is warm.
-    Each sidecar gets `skew` requests a tick of 4 ms. With `all_cold` all ten start together."""
+    Of ten upstreams it and others, `new` together, have just started; each has one core and serves in turn;
+    requests take 40 ms when it is warm. Each sidecar gets `skew` requests a tick of 4 ms."""
     config = settings(instances=len(skew), classes=[RequestClass("read", 300_000, 1_500_000)])
     balancers = [Balancer(config, n, START_US) for n in range(len(skew))]
-    listed = [Upstream(n, started_us=START_US if all_cold or n == 1 else 0) for n in range(1, 11)]
+    listed = [Upstream(n, started_us=START_US if n <= new else 0) for n in range(1, 11)]
 
     def warmth(at_us: int) -> float:
         return config.cold_share + (1 - config.cold_share) * (at_us - START_US) / config.warm_up_us
@@ -169,8 +169,7 @@
                     tries[action.request] = nth + 1
                     ready_us = now_us + 40_000
                     if action.upstream > 1 or outcome is Outcome.OK:
-                        cold = all_cold or action.upstream == 1
-                        took_us = int(40_000 / (warmth(now_us) if cold else 1.0))
+                        took_us = int(40_000 / (warmth(now_us) if action.upstream <= new else 1.0))
                         ready_us = free_us[action.upstream] = max(free_us[action.upstream], now_us) + took_us
                     ends.append((ready_us, number, action.request, action.upstream, nth, now_us))
                     if action.upstream == 1:
@@ -190,4 +189,10 @@
 
 
 def test_a_fleet_that_starts_all_cold_is_not_pushed_over_by_what_it_bears_when_warm() -> None:
-    assert 0 < pushed_share([1], Outcome.OK, all_cold=True) <= 1
+    assert 0 < pushed_share([1], Outcome.OK, new=10) <= 1
+
+
+def test_those_that_take_the_places_of_most_of_a_fleet_are_not_pushed_over() -> None:
+    for skew in ([1, 1, 1], [1] * 8, [2] * 8, [1] * 40):
+        for outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
+            assert 0 < pushed_share(skew, outcome, new=6) <= 1, (skew, outcome)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -133,6 +133,35 @@
     assert 0 < cold <= 17  # a quarter of 170 would be its share when warm
 
 
+def sent_to_new(warm_us: int, new_us: int) -> int:
+    """Of 300 requests of a sidecar among 40, those that six new upstreams of ten get; `warm_us` and `new_us`
+    are how long the two kinds take."""
+    world = World(settings(instances=40, overload_factor=2.5, cold_share=0.3))
+    new = [Upstream(n, started_us=world.now_us - 1_000) for n in range(1, 7)]
+    world.tell_list([*new, *upstreams(4)])
+    for _ in range(300):
+        request = world.arrive(READ)
+        took_us = new_us if world.owed[request].tries[0].upstream < 100 else warm_us
+        world.advance(took_us)
+        world.end(request, 0, Outcome.OK)
+    return sum(s.upstream < 100 for s in world.sends())
+
+
+def test_new_upstreams_get_more_while_they_answer_sooner_than_the_others() -> None:
+    quick, alike, late = sent_to_new(60_000, 20_000), sent_to_new(40_000, 40_000), sent_to_new(20_000, 60_000)
+    assert quick > 1.7 * late and quick > alike > late, (quick, alike, late)
+
+
+def test_a_fleet_that_is_mostly_new_keeps_its_slots() -> None:
+    open_now = []
+    for new in (0, 36):
+        world = World(settings(instances=40, cold_share=0.5, warm_up_us=60_000_000))
+        started_us = world.now_us - 30_000_000  # they have three quarters of what a warm one has
+        world.tell_list([Upstream(n, started_us=started_us if n <= new else 0) for n in range(1, 61)])
+        open_now.append(world.balancer.total.free(world.now_us))
+    assert open_now[0] * 0.6 < open_now[1] < open_now[0]
+
+
 def test_in_a_shortage_a_few_sidecars_use_one_slot_of_a_cold_upstream_unless_it_fails() -> None:
     world = World(settings(instances=2))
     world.tell_list([Upstream(1, started_us=world.now_us - 1_000), *upstreams(2)])
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -34,20 +34,22 @@
 TRIAL_US = 500_000  # between the trials of all sidecars together
 MOST_TRIAL_US = 5_000_000  # one sidecar's rest before a trial, half as long again at most
 FORGIVEN = 1 / 1024  # a failed share that says nothing any more
+COLD_MOST = 0.8  # of the multiple at which a cold upstream falls; what is left is for chance
 SUSPECT = 0.5  # failed share from which another upstream of a large fleet is used beside this one
 GAP_US = 1_000_000  # at most a log line and a new own order in this: some answers of a small sidecar
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
 
 
 class Attempt:
-    __slots__ = ("server", "entry", "sent_us", "ended", "lost")
+    __slots__ = ("server", "entry", "sent_us", "ended", "lost", "cold")
 
-    def __init__(self, server: Server, now_us: int) -> None:
+    def __init__(self, server: Server, now_us: int, cold: bool) -> None:
         self.server = server
         self.entry = server.entry  # as it was then
         self.sent_us = now_us
         self.ended: api.Outcome | None = None  # None while it is out
         self.lost = False  # presumed so: its slot is free again
+        self.cold = cold  # its upstream was, when it was sent
 
 
 class Request:
@@ -102,6 +104,8 @@
         self.quickest_us = min(self.half_aims_us)
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
+        self.cold_least = min(1.0, settings.overload_factor / 4)
+        self.cold_gain = self.cold_least  # times its share by warmth: what a cold upstream gets
         self.shut = 0.0  # share of attempts that got no connection
         self.short_us = 0  # when a request last found no free slot
         self.next_log_us = now_us
@@ -301,6 +305,8 @@
                 # hazard: beside answers of seconds, short rests leave a choked upstream crowded
                 busy_us = max(min(self.answer_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
                 resting.rest(self.now_us, busy_us, self.random.random())
+        if attempt.cold and outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
+            self.follow_cold(elapsed_us / self.answer_us[class_index])
         if served:
             server.well_us = self.now_us
             self.absolve(server)
@@ -315,6 +321,13 @@
             self.next_log_us, server.resting = self.now_us + GAP_US, rests
             self.actions.append(api.Log(f"upstream {server.entry.id} " + ("is back", "rests")[rests]))
 
+    def follow_cold(self, late: float) -> None:
+        """How long a cold upstream took, in usual answers. Of its warmth only the least is known; while it
+        answers sooner than the others it has room, and gets more, until all take as long. Hazard: its answers
+        are few, so those of all cold ones count together; with no warm one to go by, none does."""
+        gain = self.cold_gain + (1.0 - min(2.0, late)) / 8 if len(self.fleet.warm) else 0.0
+        self.cold_gain = max(self.cold_least, min(gain, COLD_MOST * self.settings.overload_factor))
+
     def on_suspected(self, server: Server, weight: float) -> None:
         """Hearsay: it makes the next send a trial, after a rest by chance, so that all sidecars together try
         an upstream about as often as one would. It never closes one for good, and opens none: a trial's
@@ -424,8 +437,8 @@
 
     def cold_turn(self, request: Request, warm: Server | None, group: list[Server] | None) -> Server | None:
         """Rule 4: of the sends that warm ones have room for (none warm: of arrivals) a cold one gets its
-        share of capacity, by a quarter of the multiple. Hazard: in a shortage all would fall on it,
-        by hundreds of sidecars."""
+        share of capacity, by a quarter of the multiple, and more while it answers sooner than they. Hazard:
+        in a shortage all would fall on it, by hundreds of sidecars."""
         fleet = self.fleet
         if warm is None and len(fleet.warm):
             # one out from each of a few sidecars can't choke it, unless it fails at once
@@ -438,7 +451,8 @@
             return self.random.choice(open_now) if open_now else None
         shares = fleet.cold_shares(self.now_us)
         rest = fleet.warm_size if len(fleet.warm) else fleet.cold_size
-        if self.random.random() * (rest + shares) / min(1.0, self.settings.overload_factor / 4) >= shares:
+        gain = self.cold_gain if len(fleet.warm) else self.cold_least
+        if self.random.random() * (rest + shares) / gain >= shares:
             return warm
         server = fleet.cold_by_share(self.random, self.now_us)
         return server if server and self.open_slots(server) > 0 and self.in_group(request, server) else warm
@@ -450,8 +464,8 @@
         busiest, self.busiest = self.busiest, self.total.used
         if self.subset.on and self.subset.renewed(self.now_us, busiest):
             self.select()
-        warm = len(self.fleet.warm)
-        first = max(LEAST_IN_ALL, MOST_AT_FIRST / self.sharing * warm)
+        # hazard: by the warm ones alone, most slots would go when most upstreams start anew, and refuse
+        first = max(LEAST_IN_ALL, MOST_AT_FIRST / self.sharing * self.fleet.as_many_warm(self.now_us))
         self.total.window, self.total.first = self.total.window * first / self.total.first, first
 
     def select(self) -> None:
@@ -543,7 +557,7 @@
         if not (self.may_send(request) and self.in_group(request, server) and self.open_slots(server) > 0):
             self.finish(request)
             return
-        request.attempts.append(Attempt(server, self.now_us))
+        request.attempts.append(Attempt(server, self.now_us, server.shelf is self.fleet.cold))
         self.servers.setdefault(server.entry.id, server)
         server.slots.used += 1
         self.total.used += 1
--- a/wickspread/decisions/fleet.py
+++ b/wickspread/decisions/fleet.py
@@ -268,6 +268,11 @@
         shares = s.cold_share * self.cold_size + (1.0 - s.cold_share) * ages / max(1, s.warm_up_us)
         return min(self.cold_size, max(s.cold_share * self.cold_size, shares))
 
+    def as_many_warm(self, now_us: int) -> float:
+        """How many warm upstreams would serve what all do now, at the least."""
+        share = self.cold_shares(now_us) / self.cold_size if self.cold_size > 0.0 else 0.0
+        return len(self.warm) + share * len(self.cold)
+
     def cold_by_share(self, dice: random.Random, now_us: int) -> Server | None:
         """One of the cold by size times warmth: drawn by size, taken by warmth. None if chance takes none of
         many, which is the careful side."""
