--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import heapq
+
 from tests.world import START_US, World, settings, upstreams
+from wickspread.decisions.balance import Balancer
 from wickspread.decisions.interface import (
+    Event,
     ListKind,
     Outcome,
     SetTimer,
     Subscribe,
+    TimerFired,
     Upstream,
     UpstreamState,
     UpstreamsUpdated,
@@ -70,6 +75,55 @@
     assert len(asks(world)) >= 2
 
 
+def listed_us(instances: int, all_calls_us: int, patience_us: int, seed: int) -> list[int]:
+    """When each of a fleet that starts together has its first list, in microseconds, 0 = not within 30 s.
+
+    Discovery works through calls in turn and could take one of each sidecar in `all_calls_us`. One that would
+    wait longer than `patience_us` is turned away; one that nearly does waits so long all the same, behind
+    what is told of changes: it fails, and its work has been done."""
+    config = settings(instances=instances, list_on_request=True, ask_within_us=10_000_000)
+    cost_us, busy_us, now_us = all_calls_us // instances, START_US, START_US
+    fleet = [Balancer(config, seed * 1000 + n, now_us) for n in range(instances)]
+    found = [0] * instances
+    cached = UpstreamsUpdated(ListKind.CACHED, upstreams(4))
+    queue: list[tuple[int, int, int, Event]] = [(now_us, n, n, cached) for n in range(instances)]
+    order = instances
+    while queue and queue[0][0] < START_US + 30_000_000:
+        now_us, _, n, event = heapq.heappop(queue)
+        if isinstance(event, UpstreamsUpdated) and event.kind is ListKind.FULL:
+            found[n] = found[n] or now_us - START_US
+        for action in fleet[n].handle(now_us, event):
+            answer: tuple[int, Event] | None = None
+            if isinstance(action, SetTimer):
+                answer = action.at_us, TimerFired(action.token)
+            elif isinstance(action, Subscribe):
+                busy_us = max(busy_us, now_us)
+                wait_us = busy_us - now_us
+                if wait_us > patience_us:
+                    answer = now_us + 1_000, UpstreamsUpdated(ListKind.FAILED)
+                else:
+                    busy_us += cost_us
+                    late = wait_us > patience_us * 0.7  # changes are told meanwhile, and come before it
+                    answer = ((now_us + patience_us, UpstreamsUpdated(ListKind.FAILED)) if late else
+                              (busy_us, UpstreamsUpdated(ListKind.FULL, upstreams(4))))
+            if answer is not None:
+                order += 1
+                heapq.heappush(queue, (answer[0], order, n, answer[1]))
+    return found
+
+
+def test_a_fleet_that_starts_together_does_not_keep_discovery_from_answering() -> None:
+    for instances in (40, 200):
+        for seed in range(3):
+            found = listed_us(instances, all_calls_us=6_000_000, patience_us=2_000_000, seed=seed)
+            assert min(found) > 0, (instances, seed, found.count(0))
+            assert max(found) < 12_000_000, (instances, seed, max(found))
+
+
+def test_a_few_sidecars_ask_at_once() -> None:
+    assert max(listed_us(8, all_calls_us=1_000_000, patience_us=2_000_000, seed=1)) <= 1_100_000
+
+
 def test_a_delta_changes_only_what_it_names() -> None:
     world = World()
     world.tell_list(upstreams(2))
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -133,6 +133,23 @@
     assert 0 < cold <= 17  # a quarter of 170 would be its share when warm
 
 
+def test_among_many_sidecars_slots_stay_open_for_longer_answers() -> None:
+    """At 0.78 of the slow time, from which a few sidecars refuse and many do not yet."""
+    held_by = []
+    for instances in (8, 40):
+        world = World(settings(instances=instances))
+        world.tell_list(upstreams(60))
+        total = world.balancer.total
+        for _ in range(100):
+            requests = [world.arrive(READ) for _ in range(4)]
+            world.advance(117_000)
+            for request in requests:
+                if world.owed[request].out():
+                    world.end(request, 0, Outcome.OK)
+        held_by.append(total.window / total.first)
+    assert held_by[0] < 0.9 and held_by[1] >= 1.0, held_by
+
+
 def sent_to_new(warm_us: int, new_us: int) -> int:
     """Of 300 requests of a sidecar among 40, those that six new upstreams of ten get; `warm_us` and `new_us`
     are how long the two kinds take."""
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -12,7 +12,7 @@
 from functools import partial
 
 from wickspread.decisions import interface as api
-from wickspread.decisions.fleet import FEW, MOST_SLOTS, Fleet, Server, Slots
+from wickspread.decisions.fleet import FEW, FULL_LOAD, FULL_SHARED, MOST_SLOTS, Fleet, Server, Slots
 from wickspread.decisions.subset import Subset
 
 MOST_AT_FIRST = 8.0  # first slots an upstream, all sidecars together: what a few cores serve within an aim
@@ -38,6 +38,8 @@
 SUSPECT = 0.5  # failed share from which another upstream of a large fleet is used beside this one
 GAP_US = 1_000_000  # at most a log line and a new own order in this: some answers of a small sidecar
 FIRST_RETRY_US = 250_000  # discovery back-off starts here: long beside one call, short beside a drain
+CALLERS = 8  # sidecars that may call discovery at once
+CALL_US = 100_000  # for each further one, as it can take a call of each in some seconds
 
 
 class Attempt:
@@ -105,6 +107,7 @@
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
         self.cold_least = min(1.0, settings.overload_factor / 4)
+        self.thin = 1.0  # and this part of it, where sidecars are many for their upstreams
         self.cold_gain = self.cold_least  # times its share by warmth: what a cold upstream gets
         self.shut = 0.0  # share of attempts that got no connection
         self.short_us = 0  # when a request last found no free slot
@@ -113,8 +116,12 @@
         self.armed_us = 0  # the next timer already asked for; 0 = none
         self.sort_us = now_us  # when the own order is renewed next
         self.list_wait_us = max(FIRST_RETRY_US, settings.ask_within_us // 2)  # the longest
+        # hazard: discovery works through calls in turn, and each that waits too long has cost its work all
+        # the same. A fleet that starts together, or calls again soon, keeps it too far behind to answer any.
+        self.calls_spread_us = min(max(0, settings.instances - CALLERS) * CALL_US, self.list_wait_us)
         self.list_failures = self.ask_list_us = 0  # failed calls; when the list is asked for next, 0 = never
-        self.ask_list_at(now_us)
+        spread_us = self.calls_spread_us
+        self.ask_list_at(now_us + (int(spread_us * self.random.random()) if spread_us else 0))
 
     @property
     def asks(self) -> bool:
@@ -277,6 +284,8 @@
         """How an attempt's end opens or closes its upstream's slots, and those of all together."""
         server, slow_us = attempt.server, self.half_aim_us(class_index)
         slots, part = server.slots, MOST_AT_FIRST / self.sharing
+        # hazard: of many sidecars each has a small part in a queue, and all close slots for the same one
+        full = FULL_SHARED - (FULL_SHARED - FULL_LOAD) * min(1.0, part)
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
         served = outcome is api.Outcome.OK
         load = min(2.0, elapsed_us / slow_us) if served else 2.0
@@ -285,7 +294,7 @@
             # hazard: small sidecars crowd the fleet, each too seldom at one upstream to learn it; silence is
             # no sign of a crowd: it may be lost answers, and it holds its slot long enough
             floor = min(1.0, part / 4 * len(self.fleet.warm))
-            self.total.follow(load, needed, floor, max(1.0, self.total.window))
+            self.total.follow(load, full, needed, floor, max(1.0, self.total.window))
         if outcome is not api.Outcome.NOT_SENT:
             failing = server.failing + ((0.0 if served else 1.0) - server.failing) / 16
             server.failing = failing if failing >= FORGIVEN else 0.0
@@ -294,7 +303,7 @@
         lost = outcome is api.Outcome.TIMEOUT and self.passed(attempt)
         if outcome in (api.Outcome.OK, api.Outcome.TIMEOUT) and not lost:
             # hazard: queues that outlast the aim serve nobody in time, however busy everyone is
-            slots.follow(load, needed, min(1.0, part / 4), 1.0)
+            slots.follow(load, full, needed, min(1.0, part / 4), 1.0)
             self.answer_us[class_index] += (max(1, elapsed_us) - self.answer_us[class_index]) / 8
         elif outcome in (api.Outcome.FULL, api.Outcome.CONNECT_FAILED) or (self.ill(server) and not lost):
             # hazard: what fails at once frees its slot at once and so would draw ever more; yet where one in
@@ -451,7 +460,7 @@
             return self.random.choice(open_now) if open_now else None
         shares = fleet.cold_shares(self.now_us)
         rest = fleet.warm_size if len(fleet.warm) else fleet.cold_size
-        gain = self.cold_gain if len(fleet.warm) else self.cold_least
+        gain = (self.cold_gain if len(fleet.warm) else self.cold_least) * self.thin
         if self.random.random() * (rest + shares) / gain >= shares:
             return warm
         server = fleet.cold_by_share(self.random, self.now_us)
@@ -465,7 +474,10 @@
         if self.subset.on and self.subset.renewed(self.now_us, busiest):
             self.select()
         # hazard: by the warm ones alone, most slots would go when most upstreams start anew, and refuse
-        first = max(LEAST_IN_ALL, MOST_AT_FIRST / self.sharing * self.fleet.as_many_warm(self.now_us))
+        wanted = MOST_AT_FIRST / self.sharing * self.fleet.as_many_warm(self.now_us)
+        # hazard: so many sidecars crowd the upstreams by their first sends alone, and a cold one falls
+        self.thin = min(1.0, wanted / LEAST_IN_ALL)
+        first = max(LEAST_IN_ALL, wanted)
         self.total.window, self.total.first = self.total.window * first / self.total.first, first
 
     def select(self) -> None:
@@ -639,7 +651,8 @@
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             # rule 3: inside ask-within; doubled with each failure, jittered as all sidecars fail together
-            wait_us = min(FIRST_RETRY_US << min(self.list_failures, 20), self.list_wait_us)
+            first_us = max(FIRST_RETRY_US, self.calls_spread_us)
+            wait_us = min(first_us << min(self.list_failures, 20), self.list_wait_us)
             self.list_failures += 1
             self.ask_list_at(self.now_us + int(wait_us * (0.5 + self.random.random() / 2)))
             return
--- a/wickspread/decisions/fleet.py
+++ b/wickspread/decisions/fleet.py
@@ -14,6 +14,7 @@
 
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
+FULL_SHARED = 0.85  # the same where very many sidecars share an upstream
 MOST_SLOTS = 8  # times the first slots, however quick the answers
 COLD_SLOTS = 8.0  # at an upstream that is nearly warm, all sidecars together; at a cold one its share of them
 FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
@@ -34,8 +35,8 @@
     def free(self, now_us: int) -> int:
         return (int(self.window) if self.window >= 1.0 else int(now_us >= self.rest_until_us)) - self.used
 
-    def follow(self, load: float, needed: bool, floor: float, ways: float) -> None:
-        step = GROWTH * (FULL_LOAD - load) / max(self.window, 1.0)
+    def follow(self, load: float, full: float, needed: bool, floor: float, ways: float) -> None:
+        step = GROWTH * (full - load) / max(self.window, 1.0)
         if step < 0.0:
             # hazard: after an outage all would rest for long, and where all are slow it only refuses more
             self.window = max(self.window * (1.0 + step), min(self.window, floor))
