--- /dev/null
+++ b/benchmarks/large_fleet.py
@@ -0,0 +1,46 @@
+"""A large fleet's decisions in virtual time, by the number of sidecars that share sixty upstreams.
+
+    python -m benchmarks.large_fleet [--seeds 2] [--sidecars 10 40 200]
+
+For each scene: the share of requests served, refused and failed, attempts, probes, dials and calls for lists
+a request, the most calls in a second, when the last sidecar had its list, and the fullest upstream. Counts of
+a model, not times: the same on any machine.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections import Counter
+
+from wickspread.emulator.fleet import START_US
+from wickspread.emulator.scenes import SCENES, plan
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").partition("\n")[0])
+    parser.add_argument("--seeds", type=int, default=2)
+    parser.add_argument("--sidecars", type=int, nargs="+", default=[10, 40, 200])
+    told = parser.parse_args()
+    print("scene      sidecars  served refused failed  att/r  probes/r  dials/r  calls/r  calls/s  listed  "
+          "most-open  fallen")
+    for name, scene in SCENES.items():
+        for instances in told.sidecars:
+            seen = [scene(plan(instances, seed=seed)) for seed in range(1, told.seeds + 1)]
+            requests = sum(one.requests for one in seen)
+            answers = sum((sum(one.answers.values(), Counter()) for one in seen), Counter())
+            listed = max((when for one in seen for when in one.listed_us.values()), default=START_US)
+            ok, refused, failed = (answers[how] / requests for how in ("ok", "refuse", "fail"))
+            attempts = sum(one.attempts for one in seen) / requests
+            probes = sum(one.probes for one in seen) / requests
+            dials = sum(one.dials.total() for one in seen) / requests
+            calls = sum(one.calls.total() for one in seen) / requests
+            busiest = max(max(one.calls.values()) for one in seen)
+            fullest = max(max(one.most_open.values()) for one in seen)
+            fallen = sum(len(one.fallen) for one in seen)
+            print(f"{name:10} {instances:8}  {ok:6.3f} {refused:7.3f} {failed:6.3f} {attempts:6.2f} "
+                  f"{probes:9.3f} {dials:8.3f} {calls:8.4f} {busiest:8} {(listed - START_US) / 1e6:7.1f} "
+                  f"{fullest:10} {fallen:7}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -28,6 +28,7 @@
     "daemon": {"compiled", "decisions", "engine", "gossip", "grpc", "http1", "membership", "operations",
                "operator", "recorder", "roster"},
     "lab": {"compiled", "decisions", "gossip", "grpc", "http2", "membership"},
+    "emulator": {"decisions", "lab"},
     "compiled": set(),
     "__main__": {"daemon", "gossip", "lab", "membership", "operator", "recorder"},
     "": {"compiled"},
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -116,11 +116,8 @@
         self.armed_us = 0  # the next timer already asked for; 0 = none
         self.sort_us = now_us  # when the own order is renewed next
         self.list_wait_us = max(FIRST_RETRY_US, settings.ask_within_us // 2)  # the longest
-        # hazard: discovery works through calls in turn, and each that waits too long has cost its work all
-        # the same. A fleet that starts together, or calls again soon, keeps it too far behind to answer any.
-        self.calls_spread_us = min(max(0, settings.instances - CALLERS) * CALL_US, self.list_wait_us)
         self.list_failures = self.ask_list_us = 0  # failed calls; when the list is asked for next, 0 = never
-        spread_us = self.calls_spread_us
+        spread_us = self.calls_spread_us()
         self.ask_list_at(now_us + (int(spread_us * self.random.random()) if spread_us else 0))
 
     @property
@@ -651,7 +648,7 @@
     def on_list(self, event: api.UpstreamsUpdated) -> None:
         if event.kind is api.ListKind.FAILED:
             # rule 3: inside ask-within; doubled with each failure, jittered as all sidecars fail together
-            first_us = max(FIRST_RETRY_US, self.calls_spread_us)
+            first_us = max(FIRST_RETRY_US, self.calls_spread_us())
             wait_us = min(first_us << min(self.list_failures, 20), self.list_wait_us)
             self.list_failures += 1
             self.ask_list_at(self.now_us + int(wait_us * (0.5 + self.random.random() / 2)))
@@ -725,6 +722,11 @@
             self.fleet.touch(server, self.now_us)
         self.renew()
 
+    def calls_spread_us(self) -> int:
+        """Hazard: discovery works through calls in turn, and each that waits too long has cost its work all
+        the same. A fleet that starts together, or calls again soon, keeps it too far behind to answer any."""
+        return min(max(0, self.subset.instances - CALLERS) * CALL_US, self.list_wait_us)
+
     def ask_list_at(self, at_us: int) -> None:
         if self.settings.list_on_request:
             self.ask_list_us = at_us
--- /dev/null
+++ b/wickspread/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Whole fleets of the real decisions in virtual time."""
--- /dev/null
+++ b/wickspread/emulator/fleet.py
@@ -0,0 +1,383 @@
+"""Many sidecars' decisions, their upstreams and discovery in one virtual clock. No I/O; chance by one seed.
+
+Each sidecar is a real `Balancer`; what its engine would do is done here, with plain models of what is round
+it: machines (wickspread/lab/capacity.py), connections that cost a dial and of which an upstream holds so
+many, and one discovery for all that works through calls in turn. Times are microseconds.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+
+from wickspread.decisions import interface as api
+from wickspread.decisions.balance import Balancer
+from wickspread.lab.capacity import Capacity, Machine
+
+START_US = 1_000_000_000
+SECOND_US = 1_000_000
+ANSWER_US = 1_000  # a refusal, an error or a report, there and back
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """A fleet. Rates are of all sidecars together."""
+
+    settings: api.Settings  # `instances` says how many sidecars
+    upstreams: int
+    rate: float  # requests a second
+    skew: float = 1.0  # standard deviation of the sidecars' parts of it, in means (lognormal)
+    machine: Machine = Machine()
+    connections: int = 400  # that one upstream holds
+    dial_us: int = 3_000
+    call_us: int = 100_000  # of discovery's time, for one call
+    change_us: int = 500  # of discovery's time, to tell one sidecar of one change
+    patience_us: int = 2_000_000  # a call that waits longer fails, and its work is done all the same
+    seed: int = 1
+
+
+@dataclass(slots=True)
+class Node:
+    entry: api.Upstream
+    capacity: Capacity
+    open: int = 0  # connections
+    failing: float = 0.0  # share of its answers that are errors
+    silent: bool = False
+
+
+@dataclass(slots=True)
+class Attempt:
+    sidecar: int
+    request: int
+    number: int
+    upstream: int
+    sent_us: int
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Sidecar:
+    balancer: Balancer
+    life: int = 0  # grows with each restart
+    idle: dict[int, list[int]] = field(default_factory=lambda: defaultdict(list))  # upstream: since when
+    open: Counter[int] = field(default_factory=Counter)  # connections to each upstream
+    tries: dict[int, int] = field(default_factory=dict)  # attempts of each request that is open
+    out: dict[tuple[int, int], Attempt] = field(default_factory=dict)
+    known: dict[int, api.Upstream] = field(default_factory=dict)
+    version: int = 0
+    watching: bool = False
+
+
+@dataclass(slots=True)
+class Seen:
+    """What happened; times are whole seconds since the start."""
+
+    calls: Counter[int] = field(default_factory=Counter)  # for lists, by second
+    listed_us: dict[int, int] = field(default_factory=dict)  # when each sidecar was first answered
+    dials: Counter[int] = field(default_factory=Counter)  # by second
+    dialled: Counter[int] = field(default_factory=Counter)  # by upstream
+    most_open: Counter[int] = field(default_factory=Counter)  # connections, by upstream
+    probes: int = 0
+    requests: int = 0
+    attempts: int = 0
+    # by second, then by upstream, outcome and answer
+    sends: dict[int, Counter[int]] = field(default_factory=lambda: defaultdict(Counter))
+    outcomes: dict[int, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    answers: dict[int, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    fallen: list[int] = field(default_factory=list)  # upstreams that were pushed over
+    unanswered: list[int] = field(default_factory=list)  # requests past their due time
+    late_sends: int = 0  # over the drain's 2 s after the sidecar was told
+
+
+class EmulatedFleet:
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.now_us = START_US
+        self.dice = random.Random(plan.seed)
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        self.order = 0
+        self.seen = Seen()
+        self.nodes: dict[int, Node] = {}
+        self.changes: list[api.Upstream] = []  # the list's history; its length is its version
+        self.discovery_us = START_US  # until when discovery is busy
+        self.jobs: dict[str, Attempt] = {}
+        self.told_us: dict[tuple[int, int], int] = {}  # sidecar, upstream: told not to send since
+        self.next_request = 1
+        for n in range(plan.upstreams):
+            self.start_node(self.entry(n), warm=True)
+        listed = list(self.nodes.values())
+        self.sidecars = [self.new_sidecar(n) for n in range(plan.settings.instances)]
+        shares = [self.lognormal(plan.skew) for _ in self.sidecars]
+        for n, share in enumerate(shares):
+            self.tell_list(n, api.ListKind.CACHED, [node.entry for node in listed])
+            self.arrivals(n, plan.rate * share / sum(shares))
+
+    # Schedule
+
+    def at(self, when_us: int, what: Callable[[], None]) -> None:
+        self.order += 1
+        heapq.heappush(self.events, (max(when_us, self.now_us), self.order, what))
+
+    def run(self, seconds: float) -> Seen:
+        """Go on for so long."""
+        end_us = self.now_us + int(seconds * SECOND_US)
+        while self.events and self.events[0][0] <= end_us:
+            self.now_us, _, what = heapq.heappop(self.events)
+            what()
+        self.now_us = end_us
+        return self.seen
+
+    @property
+    def second(self) -> int:
+        return (self.now_us - START_US) // SECOND_US
+
+    def lognormal(self, spread: float) -> float:
+        sigma = math.sqrt(math.log(1.0 + spread * spread))
+        return self.dice.lognormvariate(-sigma * sigma / 2, sigma)
+
+    # What staff and misfortune do
+
+    def entry(self, n: int, started_us: int = 0) -> api.Upstream:
+        zones = max(1, len(self.plan.settings.zones))
+        return api.Upstream(7919 * n + 13, zone=n % zones, cell=n // 6, started_us=started_us)
+
+    def start_node(self, entry: api.Upstream, warm: bool) -> None:
+        capacity = Capacity(self.plan.machine, self.plan.seed + entry.id, self.now_us, warm)
+        self.nodes[entry.id] = Node(entry, capacity)
+
+    def replace(self, idents: Iterable[int], drained_us: int = 2_000_000) -> list[int]:
+        """Of each one a new one starts now and the old one is drained, and gone after `drained_us`."""
+        added = []
+        for ident in idents:
+            number = len(self.nodes) + 1000
+            entry = self.entry(number, started_us=self.now_us)
+            entry = replace(entry, zone=self.nodes[ident].entry.zone, cell=self.nodes[ident].entry.cell)
+            self.start_node(entry, warm=False)
+            added.append(entry.id)
+            self.change(entry)
+            old = self.nodes[ident].entry
+            self.change(replace(old, state=api.UpstreamState.DRAINING))
+            self.at(self.now_us + drained_us, lambda old=old: self.end_node(old))  # type: ignore[misc]
+        return added
+
+    def end_node(self, old: api.Upstream) -> None:
+        self.nodes[old.id].silent = True
+        self.change(replace(old, state=api.UpstreamState.GONE))
+
+    def restart_sidecars(self, numbers: Iterable[int]) -> None:
+        """Killed, and there again at once with the list as they last had it."""
+        for n in numbers:
+            old = self.sidecars[n]
+            for ident, count in old.open.items():
+                self.nodes[ident].open -= count
+            for attempt in old.out.values():
+                attempt.over = True
+            self.sidecars[n] = self.new_sidecar(n, old.life + 1)
+            self.sidecars[n].version = old.version
+            self.seen.listed_us.pop(n, None)
+            self.tell_list(n, api.ListKind.CACHED, list(old.known.values()))
+
+    def new_sidecar(self, n: int, life: int = 0) -> Sidecar:
+        zones = max(1, len(self.plan.settings.zones))
+        settings = replace(self.plan.settings, self_index=n, zone=n % zones)
+        return Sidecar(Balancer(settings, self.plan.seed * 100_003 + n * 101 + life, self.now_us), life)
+
+    # Discovery
+
+    def change(self, entry: api.Upstream) -> None:
+        self.changes.append(entry)
+        for n, sidecar in enumerate(self.sidecars):
+            if sidecar.watching:
+                self.discovery_us = max(self.discovery_us, self.now_us) + self.plan.change_us
+                self.at(self.discovery_us, lambda n=n, life=sidecar.life: self.told(n, life))  # type: ignore[misc]
+
+    def call(self, n: int) -> None:
+        sidecar, plan = self.sidecars[n], self.plan
+        sidecar.watching = False
+        self.seen.calls[self.second] += 1
+        begins_us = max(self.discovery_us, self.now_us)
+        if begins_us - self.now_us > plan.patience_us:
+            self.at(self.now_us + ANSWER_US, lambda: self.call_failed(n, sidecar.life))
+            return
+        self.discovery_us = begins_us + plan.call_us
+
+        def answered() -> None:
+            if self.sidecars[n].life == sidecar.life:
+                sidecar.watching = True
+                self.seen.listed_us.setdefault(n, self.now_us)
+                self.told(n, sidecar.life)
+
+        if self.discovery_us - self.now_us > plan.patience_us:
+            self.at(self.now_us + plan.patience_us, lambda: self.call_failed(n, sidecar.life))
+        else:
+            self.at(self.discovery_us, answered)
+
+    def call_failed(self, n: int, life: int) -> None:
+        if self.sidecars[n].life == life:
+            self.handle(n, api.UpstreamsUpdated(api.ListKind.FAILED))
+
+    def told(self, n: int, life: int) -> None:
+        sidecar = self.sidecars[n]
+        if sidecar.life == life:
+            entries = self.changes[sidecar.version:]
+            sidecar.version = len(self.changes)
+            self.tell_list(n, api.ListKind.DELTA, entries)
+
+    def tell_list(self, n: int, kind: api.ListKind, entries: list[api.Upstream]) -> None:
+        known = self.sidecars[n].known
+        for entry in entries:
+            if entry.state is api.UpstreamState.READY:
+                self.told_us.pop((n, entry.id), None)
+            else:
+                self.told_us.setdefault((n, entry.id), self.now_us)
+            known[entry.id] = entry
+            if entry.state is api.UpstreamState.GONE:
+                del known[entry.id]
+        self.handle(n, api.UpstreamsUpdated(kind, entries))
+
+    # Requests
+
+    def arrivals(self, n: int, rate: float) -> None:
+        def one() -> None:
+            self.arrive(n)
+            self.at(self.now_us + int(self.dice.expovariate(rate) * SECOND_US), one)
+
+        self.at(self.now_us + int(self.dice.expovariate(rate) * SECOND_US), one)
+
+    def arrive(self, n: int) -> None:
+        classes = self.plan.settings.classes
+        kind = self.dice.randrange(len(classes))
+        request, due_us = self.next_request, self.now_us + classes[kind].deadline_us
+        self.next_request += 1
+        self.seen.requests += 1
+        sidecar = self.sidecars[n]
+        sidecar.tries[request] = 0
+        self.at(due_us + 4 * self.plan.settings.tick_us, lambda: self.check(sidecar, request))
+        self.handle(n, api.RequestArrived(request, due_us, kind))
+
+    def check(self, sidecar: Sidecar, request: int) -> None:
+        if request in sidecar.tries and sidecar in self.sidecars:
+            self.seen.unanswered.append(request)
+
+    def handle(self, n: int, event: api.Event) -> None:
+        sidecar = self.sidecars[n]
+        for action in sidecar.balancer.handle(self.now_us, event):
+            if isinstance(action, api.Send):
+                self.send(n, action)
+            elif isinstance(action, api.Refuse | api.Fail):
+                self.answer(sidecar, action.request, type(action).__name__.lower())
+            elif isinstance(action, api.SetTimer):
+                fired = api.TimerFired(action.token)
+                self.at(action.at_us, lambda life=sidecar.life, fired=fired:  # type: ignore[misc]
+                        self.handle(n, fired) if self.sidecars[n].life == life else None)
+            elif isinstance(action, api.Probe):
+                self.probe(n, action.upstream)
+            elif isinstance(action, api.Subscribe) and action.active:
+                self.call(n)
+
+    def answer(self, sidecar: Sidecar, request: int, how: str) -> None:
+        assert sidecar.tries.pop(request, None) is not None, f"request {request} is answered twice"
+        self.seen.answers[self.second][how] += 1
+
+    def probe(self, n: int, ident: int) -> None:
+        self.seen.probes += 1
+        capacity, life = self.nodes[ident].capacity, self.sidecars[n].life
+
+        def reported() -> None:
+            if self.sidecars[n].life == life:
+                names = self.plan.settings.report_names
+                held = float(len(capacity.running) + len(capacity.waiting))
+                self.handle(n, api.ProbeEnded(ident, api.Outcome.OK, ANSWER_US, [held] * len(names)))
+
+        self.at(self.now_us + ANSWER_US, reported)
+
+    def send(self, n: int, send: api.Send) -> None:
+        sidecar, node = self.sidecars[n], self.nodes[send.upstream]
+        attempt = Attempt(n, send.request, sidecar.tries[send.request], send.upstream, self.now_us)
+        sidecar.tries[send.request] += 1
+        sidecar.out[attempt.request, attempt.number] = attempt
+        self.seen.attempts += 1
+        self.seen.sends[self.second][send.upstream] += 1
+        told_us = self.told_us.get((n, send.upstream))
+        if told_us is not None and self.now_us - told_us > 2_000_000:
+            self.seen.late_sends += 1
+        if send.timeout_us:
+            self.at(self.now_us + send.timeout_us, lambda: self.end(attempt, api.Outcome.TIMEOUT))
+        if self.connect(n, send.upstream):
+            self.offer(attempt)
+        elif node.silent:
+            wait_us = self.plan.settings.connect_timeout_us
+            self.at(self.now_us + wait_us, lambda: self.end(attempt, api.Outcome.CONNECT_FAILED))
+        elif node.open >= self.plan.connections:
+            self.at(self.now_us + ANSWER_US, lambda: self.end(attempt, api.Outcome.CONNECT_FAILED))
+        else:
+            node.open += 1
+            sidecar.open[send.upstream] += 1
+            self.seen.dials[self.second] += 1
+            self.seen.dialled[send.upstream] += 1
+            self.seen.most_open[send.upstream] = max(self.seen.most_open[send.upstream], node.open)
+            self.at(self.now_us + self.plan.dial_us, lambda: self.offer(attempt))
+
+    def connect(self, n: int, ident: int) -> bool:
+        """A kept connection, if there is one; those idle for too long have been closed."""
+        sidecar, idle_us = self.sidecars[n], self.plan.settings.idle_us
+        kept = sidecar.idle[ident]
+        while kept and idle_us and self.now_us - kept[0] >= idle_us:
+            kept.pop(0)
+            sidecar.open[ident] -= 1
+            self.nodes[ident].open -= 1
+        if kept:
+            kept.pop()
+            return True
+        return False
+
+    def offer(self, attempt: Attempt) -> None:
+        node = self.nodes[attempt.upstream]
+        if attempt.over or node.silent:
+            return  # it ends by its time-out
+        capacity = node.capacity
+        was_up = not capacity.fallen
+        if node.failing and self.dice.random() < node.failing:
+            self.at(self.now_us + ANSWER_US, lambda: self.end(attempt, api.Outcome.ERROR))
+            return
+        job = f"{attempt.request}.{attempt.number}"
+        taken = capacity.offer(self.now_us, job, capacity.draw_work())
+        if was_up and capacity.fallen:
+            self.seen.fallen.append(attempt.upstream)
+        if not taken:
+            self.at(self.now_us + ANSWER_US, lambda: self.end(attempt, api.Outcome.FULL))
+            return
+        self.jobs[job] = attempt
+        self.begin(node)
+
+    def begin(self, node: Node) -> None:
+        for job, took_us in node.capacity.begin(self.now_us):
+            self.at(self.now_us + took_us, lambda job=job: self.done(node, job))  # type: ignore[misc]
+
+    def done(self, node: Node, job: str) -> None:
+        attempt = self.jobs.pop(job)
+        if node.capacity.end(job) and not node.silent:
+            self.end(attempt, api.Outcome.OK)
+        self.begin(node)
+
+    def end(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        if attempt.over:
+            return
+        attempt.over = True
+        sidecar = self.sidecars[attempt.sidecar]
+        del sidecar.out[attempt.request, attempt.number]
+        self.seen.outcomes[self.second][outcome.name] += 1
+        if outcome is api.Outcome.TIMEOUT and sidecar.open[attempt.upstream]:
+            sidecar.open[attempt.upstream] -= 1  # given up by closing its connection
+            self.nodes[attempt.upstream].open -= 1
+        elif outcome not in (api.Outcome.CONNECT_FAILED, api.Outcome.TIMEOUT):
+            sidecar.idle[attempt.upstream].append(self.now_us)
+        if outcome is api.Outcome.OK and attempt.request in sidecar.tries:
+            self.answer(sidecar, attempt.request, "ok")
+        final = attempt.request not in sidecar.tries
+        self.handle(attempt.sidecar, api.AttemptEnded(
+            attempt.request, attempt.number, attempt.upstream, outcome, self.now_us - attempt.sent_us, final))
--- /dev/null
+++ b/wickspread/emulator/scenes.py
@@ -0,0 +1,77 @@
+"""What befalls a large fleet: sidecars killed together, a site lost, most upstreams replaced. Seeded, in
+virtual time; each scene returns what was seen."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from wickspread.decisions import interface as api
+from wickspread.emulator.fleet import EmulatedFleet, Plan, Seen
+from wickspread.lab.capacity import Machine
+
+CLASSES = [
+    api.RequestClass("chapter-buy", 400_000, 1_200_000, 10.0, 0.3, effect="at_most_once"),
+    api.RequestClass("coin-topup", 750_000, 4_000_000, 8.0, 0.5, effect="deduplicated", group="cell",
+                     memory_us=8_000_000),
+]
+MACHINE = Machine(cores=2, work_us=60_000, spread=0.9)
+ZONES = ["north", "south", "east", "west", "islands"]
+
+
+def plan(instances: int, upstreams: int = 60, load: float = 0.6, seed: int = 1,
+         probe_fee: float = 0.08) -> Plan:
+    """A fleet at this share of what its upstreams can do when they are warm."""
+    settings = api.Settings(
+        CLASSES, instances=instances, max_attempts=4, max_retry_after_us=2_000_000,
+        connect_timeout_us=200_000, cancel=True, probes=True, second_copies=True, list_on_request=True,
+        ask_within_us=10_000_000, cold_share=0.32, warm_up_us=8_900_000, overload_factor=2.5,
+        fall_us=2_000_000, cross_zone_fee=0.02, probe_fee=probe_fee, report_names=["in_flight"],
+        weighted=True, zones=ZONES, idle_us=5_000_000)
+    # discovery can take a call of every sidecar in 4 s, however many they are
+    rate = load * upstreams * MACHINE.cores / (MACHINE.work_us / 1e6)
+    return Plan(settings, upstreams, rate, machine=MACHINE, call_us=4_000_000 // instances, seed=seed)
+
+
+def herd(told: Plan) -> Seen:
+    """Seven in ten sidecars are killed together and back at once, while a third of the upstreams is
+    replaced."""
+    fleet = EmulatedFleet(told)
+    fleet.run(4)
+    fleet.replace(list(fleet.nodes)[: told.upstreams // 6])
+    fleet.run(1)
+    fleet.seen.listed_us.clear()
+    fleet.restart_sidecars(range(told.settings.instances * 7 // 10))
+    fleet.replace(list(fleet.nodes)[told.upstreams // 6: told.upstreams // 3])
+    return fleet.run(10)
+
+
+def join(told: Plan) -> Seen:
+    """Six in ten upstreams are replaced within 7 s, in two parts."""
+    fleet = EmulatedFleet(told)
+    fleet.run(4)
+    part = told.upstreams * 3 // 10
+    for first in (0, part):
+        fleet.replace(list(fleet.nodes)[first: first + part])
+        fleet.run(4)
+    return fleet.run(3)
+
+
+def lost_zone(told: Plan) -> Seen:
+    """One site says nothing for 6 s, and is cold when it is back; discovery says so after 2 s."""
+    fleet = EmulatedFleet(told)
+    fleet.run(4)
+    lost = [node for node in fleet.nodes.values() if node.entry.zone == 0]
+    for node in lost:
+        node.silent = True
+    fleet.run(2)
+    for node in lost:
+        fleet.change(replace(node.entry, state=api.UpstreamState.GONE))
+    fleet.run(4)
+    for node in lost:
+        entry = replace(node.entry, started_us=fleet.now_us)
+        fleet.start_node(entry, warm=False)
+        fleet.change(entry)
+    return fleet.run(5)
+
+
+SCENES = {"herd": herd, "join": join, "lost-zone": lost_zone}
