--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -115,7 +115,10 @@
     logging.basicConfig(format="wickspread: %(message)s", level=logging.INFO)
     try:
         uvloop.run(serve(configuration.load(os.environ), operators.load(os.environ)))
-    except (configuration.ConfigError, OperatorError, ListError) as error:
+    except ListError as error:
+        print(f"wickspread: the configuration's known list: {error}", file=sys.stderr)
+        return 2
+    except (configuration.ConfigError, OperatorError) as error:
         print(f"wickspread: {error}", file=sys.stderr)
         return 2
     except OSError as error:
