--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -16,7 +16,8 @@
 from wickspread.decisions.subset import Subset
 
 MOST_AT_FIRST = 8.0  # first slots an upstream, all sidecars together: what a few cores serve within an aim
-LEAST_IN_ALL = 3.0  # first slots of one sidecar at all upstreams: 2 refuse what comes together, 4 crowd
+LEAST_IN_ALL = 2.0  # first slots of one sidecar at all upstreams: 3 refuse 1 in 100 less where hundreds share
+# a few dozen upstreams, and choke these when most of them start anew
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 LEAST_LEARNT = 1 / 8  # what another process has learnt closes an upstream to no less
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
