--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import threading
+import time
 from collections import Counter
 from functools import partial
 from pathlib import Path
@@ -86,6 +87,26 @@
         assert len(free.bodies()) == found[200]
 
 
+def test_a_listed_address_that_nobody_answers_costs_time_and_no_request() -> None:
+    """Its backlog is full, so a connection to it never comes up."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as mute, Upstream(body=b"ok") as free:
+        waiting = []
+        for _ in range(8):  # more than any backlog of 0 holds
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(mute.getsockname())
+            waiting.append(one)
+        silent = free.entry(host="s-mute", dial=f"127.0.0.1:{mute.getsockname()[1]}")
+        with Sidecar([], known=[silent, free.entry()], instances="3") as sidecar:
+            start = time.monotonic()
+            found = [sidecar.request("POST", "/pay/7", b"%d" % n).status for n in range(20)]
+            assert time.monotonic() - start >= 0.14  # the dial's time-out: it was tried
+        for one in waiting:
+            one.close()
+        assert found == [200] * 20  # each went on elsewhere: nothing of it had been written
+        assert sorted(free.bodies()) == sorted(b"%d" % n for n in range(20))
+
+
 def test_six_in_ten_are_replaced_while_each_has_requests_out() -> None:
     go = threading.Event()
 
