A process that replaces another asks for its list at once, whatever the fleet's size

Since calls for lists are spread by the number of sidecars, the successor of one among 40 could ask up to 3.2 s after its start, past the 2 s that it waits for its list, and send to upstreams whose drain the process before it had heard of. It is alone in asking, so daemon/__main__.py subscribes before that wait.

--- a/tests/operations/test_upgrade.py
+++ b/tests/operations/test_upgrade.py
@@ -83,6 +83,21 @@
             assert len(ids) == len(set(ids))
 
 
+def test_a_process_that_follows_another_of_a_large_fleet_asks_for_its_list_at_once() -> None:
+    """A fleet's first calls are spread over 5 s; a drain that was told must bind it all the same."""
+    with (Upstream() as one, Upstream() as two, platform() as (listener, folder),
+          Discovery([one.entry(), two.entry(health="terminating")]) as discovery,
+          Doored([one, two], folder, discovery=discovery, listener=listener, instances="400") as old):
+        eventually(lambda: len(discovery.watches) == 1)
+        late = Doored([one, two], folder, discovery=discovery, listener=listener, instances="400")
+        late.config["seed"] = "0000000000000002"  # by its dice its turn would come after 4.8 s
+        with late as new:
+            assert old.stop() == 0
+            before = len(two.requests)
+            assert [new.request("POST", "/pay/7", b"x").status for _ in range(20)] == [200] * 20
+            assert len(two.requests) == before and len(discovery.calls) == 2
+
+
 def test_the_old_process_finishes_what_it_has_and_takes_nothing_new() -> None:
     held = threading.Event()
 
--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -75,7 +75,10 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     if hand is not None and not hand.handover.alone():
         # hazard: what discovery tells binds soon after the first yes, and the list at hand may be old; the
-        # process before this one serves meanwhile
+        # process before this one serves meanwhile. The decisions spread a fleet's first calls over seconds;
+        # this one is made alone
+        if settings.list_on_request:
+            discovery.subscribe(True)
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(engine.listed.wait(), LIST_S)
         await hand.memory.take_over()
