A sidecar that knows no upstream asks for its list at once, however large the fleet

The spread of first calls holds for those that have a known list to go by; with none, everything is refused until the first one comes, up to 3.2 s later among 40. The test is seen to fail without it.

--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -120,6 +120,21 @@
             assert max(found) < 12_000_000, (instances, seed, max(found))
 
 
+def test_a_sidecar_of_a_large_fleet_that_knows_no_upstream_asks_at_once() -> None:
+    asked = []
+    for known in ([], upstreams(4)):
+        worlds = [World(settings(instances=40, list_on_request=True, ask_within_us=10_000_000), seed)
+                  for seed in range(10)]
+        for world in worlds:
+            world.tell_list(known, ListKind.CACHED)
+            world.advance(100_000)
+        asked.append(sum(len(asks(world)) for world in worlds))
+        for world in worlds:
+            world.advance(4_000_000)
+            assert len(asks(world)) == 1
+    assert asked[0] == 10 and asked[1] <= 3
+
+
 def test_a_few_sidecars_ask_at_once() -> None:
     assert max(listed_us(8, all_calls_us=1_000_000, patience_us=2_000_000, seed=1)) <= 1_100_000
 
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -665,6 +665,8 @@
                 self.on_entry(replace(entry, state=api.UpstreamState.GONE))
         if self.subset.on or was_on:
             self.select()
+        if event.kind is api.ListKind.CACHED and not self.entries and self.list_failures == 0:
+            self.ask_list_at(self.now_us)  # hazard: with no list at all everything is refused till one comes
         self.renew()
 
     def on_entry(self, entry: api.Upstream) -> None:
