A successor's haste is a setting of the decisions; the emulator has one guard for killed sidecars

Reading the change again: the daemon subscribed by itself beside the decisions' own first call, so that a process that replaces another in a small fleet called discovery twice. Now Settings.succeeds says that another process of this sidecar serves, and the decisions spread no first call then: one call, at their word.

--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -50,15 +50,18 @@
     directory = Directory(settings)
     version, _, known = directory.read(config.known)
     share = max(1, (config.sockets - OWN_DESCRIPTORS) // 2)
-    settings = replace(settings, most_upstreams=share)  # of a fleet larger than that a part is used
+    operated = config.door is not None or config.accept_fd is not None
+    handover = Handover.of(os.environ) if operated else None
+    settings = replace(settings, most_upstreams=share,  # of a fleet larger than that a part is used
+                       succeeds=handover is not None and not handover.alone())
     pool = Pool(settings.connect_timeout_us / 1e6 or 1.0, settings.idle_us / 1e6, share)
     discovery = Discovery(config.discovery, directory, version, pushed=not settings.list_on_request)
     engine = Engine(settings, config.seed, clock, pool, discovery)
     discovery.sink = engine
     server = Server(engine, share, Spool(spool_bytes(config.memory_mb)))
     hand, door = None, None
-    if config.door is not None or config.accept_fd is not None:
-        hand = Hand(engine, directory, server, Handover.of(os.environ))
+    if handover is not None:
+        hand = Hand(engine, directory, server, handover)
     if config.door is not None and hand is not None:
         door = Door(hand.calls())
         await door.open(config.door)
@@ -73,12 +76,9 @@
         engine.loop.add_signal_handler(number, stop.set)
     engine.loop.add_signal_handler(signal.SIGHUP, reload, discovery, engine)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-    if hand is not None and not hand.handover.alone():
+    if hand is not None and settings.succeeds:
         # hazard: what discovery tells binds soon after the first yes, and the list at hand may be old; the
-        # process before this one serves meanwhile. The decisions spread a fleet's first calls over seconds;
-        # this one is made alone
-        if settings.list_on_request:
-            discovery.subscribe(True)
+        # process before this one serves meanwhile
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(engine.listed.wait(), LIST_S)
         await hand.memory.take_over()
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -108,8 +108,8 @@
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
         self.cold_least = min(1.0, settings.overload_factor / 4)
-        self.thin = 1.0  # and this part of it, where sidecars are many for their upstreams
         self.cold_gain = self.cold_least  # times its share by warmth: what a cold upstream gets
+        self.thin = 1.0  # and this part of it, where sidecars are many for their upstreams
         self.shut = 0.0  # share of attempts that got no connection
         self.short_us = 0  # when a request last found no free slot
         self.next_log_us = now_us
@@ -118,7 +118,7 @@
         self.sort_us = now_us  # when the own order is renewed next
         self.list_wait_us = max(FIRST_RETRY_US, settings.ask_within_us // 2)  # the longest
         self.list_failures = self.ask_list_us = 0  # failed calls; when the list is asked for next, 0 = never
-        spread_us = self.calls_spread_us()
+        spread_us = 0 if settings.succeeds else self.calls_spread_us()
         self.ask_list_at(now_us + (int(spread_us * self.random.random()) if spread_us else 0))
 
     @property
--- a/wickspread/decisions/interface.py
+++ b/wickspread/decisions/interface.py
@@ -125,6 +125,7 @@
     kinds: list[str] = field(default_factory=list)
     idle_us: int = 0  # an upstream closes a connection that has stood idle for this long; 0 = never
     probe_timeout_us: int = 250_000
+    succeeds: bool = False  # another process of this sidecar serves: no fleet starts with this one
     most_upstreams: int = 0  # upstreams that one sidecar may use together, of a larger fleet; 0 = any number
 
     def __post_init__(self) -> None:
--- a/wickspread/emulator/fleet.py
+++ b/wickspread/emulator/fleet.py
@@ -13,6 +13,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 from wickspread.decisions import interface as api
 from wickspread.decisions.balance import Balancer
@@ -79,7 +80,6 @@
     calls: Counter[int] = field(default_factory=Counter)  # for lists, by second
     listed_us: dict[int, int] = field(default_factory=dict)  # when each sidecar was first answered
     dials: Counter[int] = field(default_factory=Counter)  # by second
-    dialled: Counter[int] = field(default_factory=Counter)  # by upstream
     most_open: Counter[int] = field(default_factory=Counter)  # connections, by upstream
     probes: int = 0
     requests: int = 0
@@ -122,6 +122,11 @@
         self.order += 1
         heapq.heappush(self.events, (max(when_us, self.now_us), self.order, what))
 
+    def at_sidecar(self, when_us: int, n: int, what: Callable[[], None]) -> None:
+        """What comes to sidecar `n`, unless it has been killed by then."""
+        life = self.sidecars[n].life
+        self.at(when_us, lambda: what() if self.sidecars[n].life == life else None)
+
     def run(self, seconds: float) -> Seen:
         """Go on for so long."""
         end_us = self.now_us + int(seconds * SECOND_US)
@@ -149,20 +154,17 @@
         capacity = Capacity(self.plan.machine, self.plan.seed + entry.id, self.now_us, warm)
         self.nodes[entry.id] = Node(entry, capacity)
 
-    def replace(self, idents: Iterable[int], drained_us: int = 2_000_000) -> list[int]:
+    def replace(self, idents: Iterable[int], drained_us: int = 2_000_000) -> None:
         """Of each one a new one starts now and the old one is drained, and gone after `drained_us`."""
-        added = []
         for ident in idents:
             number = len(self.nodes) + 1000
             entry = self.entry(number, started_us=self.now_us)
             entry = replace(entry, zone=self.nodes[ident].entry.zone, cell=self.nodes[ident].entry.cell)
             self.start_node(entry, warm=False)
-            added.append(entry.id)
             self.change(entry)
             old = self.nodes[ident].entry
             self.change(replace(old, state=api.UpstreamState.DRAINING))
             self.at(self.now_us + drained_us, lambda old=old: self.end_node(old))  # type: ignore[misc]
-        return added
 
     def end_node(self, old: api.Upstream) -> None:
         self.nodes[old.id].silent = True
@@ -193,39 +195,34 @@
         for n, sidecar in enumerate(self.sidecars):
             if sidecar.watching:
                 self.discovery_us = max(self.discovery_us, self.now_us) + self.plan.change_us
-                self.at(self.discovery_us, lambda n=n, life=sidecar.life: self.told(n, life))  # type: ignore[misc]
+                self.at_sidecar(self.discovery_us, n, partial(self.told, n))
 
     def call(self, n: int) -> None:
         sidecar, plan = self.sidecars[n], self.plan
         sidecar.watching = False
         self.seen.calls[self.second] += 1
         begins_us = max(self.discovery_us, self.now_us)
+        failed = partial(self.handle, n, api.UpstreamsUpdated(api.ListKind.FAILED))
         if begins_us - self.now_us > plan.patience_us:
-            self.at(self.now_us + ANSWER_US, lambda: self.call_failed(n, sidecar.life))
+            self.at_sidecar(self.now_us + ANSWER_US, n, failed)
             return
         self.discovery_us = begins_us + plan.call_us
 
         def answered() -> None:
-            if self.sidecars[n].life == sidecar.life:
-                sidecar.watching = True
-                self.seen.listed_us.setdefault(n, self.now_us)
-                self.told(n, sidecar.life)
+            sidecar.watching = True
+            self.seen.listed_us.setdefault(n, self.now_us)
+            self.told(n)
 
         if self.discovery_us - self.now_us > plan.patience_us:
-            self.at(self.now_us + plan.patience_us, lambda: self.call_failed(n, sidecar.life))
+            self.at_sidecar(self.now_us + plan.patience_us, n, failed)
         else:
-            self.at(self.discovery_us, answered)
-
-    def call_failed(self, n: int, life: int) -> None:
-        if self.sidecars[n].life == life:
-            self.handle(n, api.UpstreamsUpdated(api.ListKind.FAILED))
+            self.at_sidecar(self.discovery_us, n, answered)
 
-    def told(self, n: int, life: int) -> None:
+    def told(self, n: int) -> None:
         sidecar = self.sidecars[n]
-        if sidecar.life == life:
-            entries = self.changes[sidecar.version:]
-            sidecar.version = len(self.changes)
-            self.tell_list(n, api.ListKind.DELTA, entries)
+        entries = self.changes[sidecar.version:]
+        sidecar.version = len(self.changes)
+        self.tell_list(n, api.ListKind.DELTA, entries)
 
     def tell_list(self, n: int, kind: api.ListKind, entries: list[api.Upstream]) -> None:
         known = self.sidecars[n].known
@@ -271,9 +268,7 @@
             elif isinstance(action, api.Refuse | api.Fail):
                 self.answer(sidecar, action.request, type(action).__name__.lower())
             elif isinstance(action, api.SetTimer):
-                fired = api.TimerFired(action.token)
-                self.at(action.at_us, lambda life=sidecar.life, fired=fired:  # type: ignore[misc]
-                        self.handle(n, fired) if self.sidecars[n].life == life else None)
+                self.at_sidecar(action.at_us, n, partial(self.handle, n, api.TimerFired(action.token)))
             elif isinstance(action, api.Probe):
                 self.probe(n, action.upstream)
             elif isinstance(action, api.Subscribe) and action.active:
@@ -285,15 +280,14 @@
 
     def probe(self, n: int, ident: int) -> None:
         self.seen.probes += 1
-        capacity, life = self.nodes[ident].capacity, self.sidecars[n].life
+        capacity = self.nodes[ident].capacity
 
         def reported() -> None:
-            if self.sidecars[n].life == life:
-                names = self.plan.settings.report_names
-                held = float(len(capacity.running) + len(capacity.waiting))
-                self.handle(n, api.ProbeEnded(ident, api.Outcome.OK, ANSWER_US, [held] * len(names)))
+            names = self.plan.settings.report_names
+            held = float(len(capacity.running) + len(capacity.waiting))
+            self.handle(n, api.ProbeEnded(ident, api.Outcome.OK, ANSWER_US, [held] * len(names)))
 
-        self.at(self.now_us + ANSWER_US, reported)
+        self.at_sidecar(self.now_us + ANSWER_US, n, reported)
 
     def send(self, n: int, send: api.Send) -> None:
         sidecar, node = self.sidecars[n], self.nodes[send.upstream]
@@ -318,7 +312,6 @@
             node.open += 1
             sidecar.open[send.upstream] += 1
             self.seen.dials[self.second] += 1
-            self.seen.dialled[send.upstream] += 1
             self.seen.most_open[send.upstream] = max(self.seen.most_open[send.upstream], node.open)
             self.at(self.now_us + self.plan.dial_us, lambda: self.offer(attempt))
 
