--- a/tests/emulator/test_fleet.py
+++ b/tests/emulator/test_fleet.py
@@ -8,7 +8,7 @@
 import pytest
 
 from wickspread.emulator.fleet import START_US, EmulatedFleet, Plan, Seen
-from wickspread.emulator.scenes import SCENES, herd, join, plan
+from wickspread.emulator.scenes import CROWDED, SCENES, herd, join, plan
 
 
 def shares(seen: Seen, first: int = 0, end: int = 1 << 30) -> dict[str, float]:
@@ -37,6 +37,18 @@
     assert shares(seen)["ok"] >= 0.92, shares(seen)
 
 
+@pytest.mark.parametrize("scene", CROWDED)
+def test_two_hundred_sidecars_in_a_burst_use_what_cold_upstreams_can_do(scene: str) -> None:
+    """While the first ones, a tenth of them slow, have no more to give."""
+    told = plan(200, load=0.5, seed=1)
+    seen = CROWDED[scene](told)
+    assert not seen.unanswered and not seen.late_sends and not seen.fallen, f"seed {told.seed}"
+    served = sum(seen.in_time[second] for second in range(4, 10))
+    came = sum(seen.originals[second] for second in range(4, 10))
+    assert served / came >= 0.55, f"seed {told.seed}: {served} of {came} in time"
+    assert sum(seen.late.values()) <= 0.1 * sum(seen.originals.values())
+
+
 def test_most_of_a_fleet_that_is_replaced_refuses_little() -> None:
     told = plan(40, load=0.75, seed=3)
     seen = join(told)
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -193,6 +193,26 @@
     assert sum(1 for s in world.sends() if s.upstream == 1) <= 2
 
 
+def test_in_a_shortage_many_sidecars_use_the_slots_of_cold_upstreams_that_are_dealt_to_them() -> None:
+    """Twenty warm ones are slow, so that the slots of all close: each cold one gets as much from all sidecars
+    together as it can bear, from few of them or from many."""
+    for instances in (12, 40, 200):
+        held = dict.fromkeys(range(1, 11), 0)
+        for number in range(instances):
+            world = World(settings(instances=instances, self_index=number, cold_share=0.5,
+                                   warm_up_us=60_000_000), seed=number)
+            world.tell_list([*[Upstream(n, started_us=world.now_us) for n in range(1, 11)], *upstreams(20)])
+            for _ in range(60):
+                world.arrive(READ)
+            for request, owed in world.owed.items():
+                for sent in world.sends(request):
+                    if sent.upstream <= 10 and owed.out():
+                        held[sent.upstream] += 1
+        # half as warm, a half of the eight slots that a warm one has; no slot is dealt twice, but sends that
+        # a warm one had room for may be there besides
+        assert min(held.values()) >= 3 and sum(held.values()) <= 10 * 4 * 2.5, (instances, held)
+
+
 def test_an_upstream_that_has_restarted_starts_with_fresh_slots() -> None:
     world = ready_world(2)
     churn(world, 100, 100, Outcome.CONNECT_FAILED)
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -35,6 +35,7 @@
 TRIAL_US = 500_000  # between the trials of all sidecars together
 MOST_TRIAL_US = 5_000_000  # one sidecar's rest before a trial, half as long again at most
 FORGIVEN = 1 / 1024  # a failed share that says nothing any more
+FAILED_ONCE = 1 / 32  # one that a single failure passes
 COLD_MOST = 0.8  # of the multiple at which a cold upstream falls; what is left is for chance
 SUSPECT = 0.5  # failed share from which another upstream of a large fleet is used beside this one
 GAP_US = 1_000_000  # at most a log line and a new own order in this: some answers of a small sidecar
@@ -107,7 +108,7 @@
         self.quickest_us = min(self.half_aims_us)
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
-        self.cold_least = min(1.0, settings.overload_factor / 4)
+        self.cold_least = min(1.0, settings.overload_factor / 2.5)
         self.cold_gain = self.cold_least  # times its share by warmth: what a cold upstream gets
         self.thin = 1.0  # and this part of it, where sidecars are many for their upstreams
         self.shut = 0.0  # share of attempts that got no connection
@@ -332,7 +333,7 @@
         """How long a cold upstream took, in usual answers. Of its warmth only the least is known; while it
         answers sooner than the others it has room, and gets more, until all take as long. Hazard: its answers
         are few, so those of all cold ones count together; with no warm one to go by, none does."""
-        gain = self.cold_gain + (1.0 - min(2.0, late)) / 8 if len(self.fleet.warm) else 0.0
+        gain = self.cold_gain + (1.0 - min(2.0, late)) / 4 if len(self.fleet.warm) else 0.0
         self.cold_gain = max(self.cold_least, min(gain, COLD_MOST * self.settings.overload_factor))
 
     def on_suspected(self, server: Server, weight: float) -> None:
@@ -370,8 +371,10 @@
         """A random free slot for this request, and, where load is asked for, the first few that it could be
         of; if possible of one not yet tried, and of an idle one of this zone (when busy it spills over before
         it queues)."""
-        if not self.may_send(request) or (not self.asks and self.total.free(self.now_us) <= 0):
+        if not self.may_send(request):
             return None, []
+        if not self.asks and self.total.free(self.now_us) <= 0:
+            return self.spare_cold(request), []
         fleet, warm = self.fleet, self.fleet.warm
         blind = self.random.random() < ANYWAY
         # hazard: where a few do well, to draw the others alike loses what those could have served; when
@@ -450,7 +453,7 @@
         if warm is None and len(fleet.warm):
             # one out from each of a few sidecars can't choke it, unless it fails at once
             if self.sharing > FEW:
-                return None
+                return self.spare_cold(request)
             if group is None:
                 return fleet.cold.any_open(self.random, ILL / 2)
             open_now = [s for s in group if s.shelf is fleet.cold and s.failing <= ILL / 2
@@ -464,6 +467,15 @@
         server = fleet.cold_by_share(self.random, self.now_us)
         return server if server and self.open_slots(server) > 0 and self.in_group(request, server) else warm
 
+    def spare_cold(self, request: Request) -> Server | None:
+        """Hazard: where warm ones are crowded or refuse, their slots, and those of all together, close for
+        what they do; cold ones beside them would stand idle. One that fails at once is no closed loop."""
+        if self.sharing <= FEW or not len(self.fleet.warm):
+            return None
+        tried = [attempt.server for attempt in request.attempts]
+        server = self.fleet.spare(self.random, tried, FAILED_ONCE, self.now_us)
+        return server if server is not None and self.in_group(request, server) else None
+
     def renew(self) -> None:
         """Who is cold, and who is warm in this sidecar's own order; how many are used and slots are open."""
         self.sort_us = self.now_us + GAP_US
@@ -491,7 +503,7 @@
         for ident in joined:
             self.use(self.entries[ident])
         self.sharing = self.subset.sharing()
-        self.fleet.count_slots(self.sharing, self.now_us)
+        self.fleet.count_slots(self.sharing, self.subset.index, self.now_us)
 
     def usable(self, ident: int) -> bool:
         entry, server = self.entries[ident], self.servers.get(ident)
--- a/wickspread/decisions/fleet.py
+++ b/wickspread/decisions/fleet.py
@@ -11,6 +11,7 @@
 
 from wickspread.decisions import interface as api
 from wickspread.decisions.shelf import Seat, Shelf, Sorted
+from wickspread.decisions.subset import place_of
 
 GROWTH = 0.4  # slots a round of answers moves, by the distance from the full load; 0.8 is too rash
 FULL_LOAD = 0.7  # of the slow time, where slots settle: more lets crowded upstreams choke, less refuses early
@@ -19,6 +20,7 @@
 COLD_SLOTS = 8.0  # at an upstream that is nearly warm, all sidecars together; at a cold one its share of them
 FEW = 4  # sidecars that share an idle upstream: few connections, each well known; 8 to 50 do a little worse
 COLD_TRIES = 64
+GOLDEN = 0.618033988749895  # the multiples of it lie evenly in [0, 1), however many follow on another
 
 
 class Slots:
@@ -86,7 +88,9 @@
         self.settings = settings
         self.home = home  # the zone that is near; -1 = none
         self.few = settings.instances <= FEW  # draws go by size and open slots
+        self.number = settings.self_index  # of this sidecar
         self.cold_slots = COLD_SLOTS / settings.instances
+        self.dealt: dict[int, Server] = {}  # cold ones of whose slots this sidecar has one by then, or more
         self.base_us = now_us  # starts are summed from here, lest sums of Unix times lose digits
         self.servers: dict[int, Server] = {}  # those that have something out, though not used any more, too
         self.warm: Shelf[Server] = Shelf()  # in this sidecar's own order
@@ -114,6 +118,14 @@
         # rule 4: what is out together is what can be sent ahead of what it serves; that grows with its warmth
         return min(free, max(1, int(self.cold_slots * warmth)) - server.slots.used)
 
+    def dealt_slots(self, server: Server, now_us: int) -> int:
+        """Rule 4, in a shortage: of the slots that a cold upstream bears, COLD_SLOTS by its warmth, this
+        sidecar's own. They are dealt out by the sidecars' numbers, so that without a word between them all
+        hold no more than that, and a busy one can use its own at once. What is out in a closed loop is what
+        a budget for a window can be ahead of."""
+        share = self.cold_slots * self.warmth(server, now_us)
+        return int(share + (place_of(server.entry.id)[0] / 2.0**64 + self.number * GOLDEN) % 1.0)
+
     def failing_at(self, part: int) -> float:
         """The failed share that one in `part` of the warm upstreams stays within."""
         return self.failing.at((len(self.failing) - 1) // part) if len(self.failing) else 0.0
@@ -152,8 +164,15 @@
             self.cold_start += server.size * server.counted[1]
             until_us = server.entry.started_us + self.settings.warm_up_us
             heapq.heappush(self.warming, (until_us, server.entry.id))
+            self.deal(server)
         self.touch(server, now_us)
 
+    def deal(self, server: Server) -> None:
+        if self.dealt_slots(server, server.entry.started_us + self.settings.warm_up_us) > 0:
+            self.dealt[server.entry.id] = server
+        else:
+            self.dealt.pop(server.entry.id, None)
+
     def sums_of(self, server: Server) -> tuple[float, int]:
         return server.size, server.entry.started_us - self.base_us
 
@@ -182,6 +201,7 @@
             self.cold_size = 0.0 if last else self.cold_size - size
             self.cold_start = 0.0 if last else self.cold_start - size * start_us
             self.cold.drop(server.seat)
+            self.dealt.pop(server.entry.id, None)
         server.seat = server.shelf = None
 
     def forget(self, server: Server) -> None:
@@ -244,10 +264,12 @@
             if server is not None and server.seat is not None:
                 self.place(server, now_us)
 
-    def count_slots(self, sharing: float, now_us: int) -> None:
-        """How many sidecars share an upstream. Draws of few go by size and slots; where that changes, all
-        weights are renewed."""
-        few, self.cold_slots = sharing <= FEW, COLD_SLOTS / sharing
+    def count_slots(self, sharing: float, number: int, now_us: int) -> None:
+        """How many sidecars share an upstream, and which of them this is. Draws of few go by size and slots;
+        where that changes, all weights are renewed."""
+        few, self.cold_slots, self.number = sharing <= FEW, COLD_SLOTS / sharing, number
+        for server in self.cold.items():
+            self.deal(server)
         if few is not self.few:
             self.few = few
             for server in list(self.servers.values()):
@@ -255,6 +277,13 @@
 
     # Questions
 
+    def spare(self, dice: random.Random, barred: list[Server], most: float, now_us: int) -> Server | None:
+        """A free one of this sidecar's own slots at cold upstreams that fail at most so much."""
+        found = [one for one in self.dealt.values()
+                 if one.slots.used < self.dealt_slots(one, now_us) and one.failing <= most
+                 and one not in barred and self.open_slots(one, now_us) > 0]
+        return dice.choice(found) if found else None
+
     def first_open(self, first: int, barred: list[Server], most: float, wanted: int) -> list[Server]:
         """Of the first open ones some few that fail at most so much, in order."""
         return list(islice((seat.item for seat in self.warm.walk(first, most) if seat.item not in barred),
--- a/wickspread/emulator/fleet.py
+++ b/wickspread/emulator/fleet.py
@@ -39,6 +39,14 @@
     change_us: int = 500  # of discovery's time, to tell one sidecar of one change
     patience_us: int = 2_000_000  # a call that waits longer fails, and its work is done all the same
     seed: int = 1
+    burst: tuple[float, float, float] = (0.0, 0.0, 1.0)  # from, until (seconds), times the rate
+    again: int = 0  # a refused client comes back so often at most
+    again_share: float = 0.6  # of those that are refused
+    backoff_us: int = 90_000  # at least, doubled with each time
+
+    def __post_init__(self) -> None:
+        if self.rate <= 0 or self.upstreams < 1 or self.settings.instances < 1:
+            raise ValueError("a fleet has a rate, upstreams and sidecars")
 
 
 @dataclass(slots=True)
@@ -67,6 +75,8 @@
     idle: dict[int, list[int]] = field(default_factory=lambda: defaultdict(list))  # upstream: since when
     open: Counter[int] = field(default_factory=Counter)  # connections to each upstream
     tries: dict[int, int] = field(default_factory=dict)  # attempts of each request that is open
+    began: dict[int, tuple[int, int, int, int]] = field(default_factory=dict)
+    # of each: when, class, how often refused before, when it first came
     out: dict[tuple[int, int], Attempt] = field(default_factory=dict)
     known: dict[int, api.Upstream] = field(default_factory=dict)
     version: int = 0
@@ -82,7 +92,10 @@
     dials: Counter[int] = field(default_factory=Counter)  # by second
     most_open: Counter[int] = field(default_factory=Counter)  # connections, by upstream
     probes: int = 0
-    requests: int = 0
+    requests: int = 0  # those of clients that come again count each time
+    originals: Counter[int] = field(default_factory=Counter)  # clients' first tries, by second
+    in_time: Counter[int] = field(default_factory=Counter)  # served within the aim, by the first try's second
+    late: Counter[int] = field(default_factory=Counter)  # served beyond the aim, by second
     attempts: int = 0
     # by second, then by upstream, outcome and answer
     sends: dict[int, Counter[int]] = field(default_factory=lambda: defaultdict(Counter))
@@ -239,20 +252,31 @@
     # Requests
 
     def arrivals(self, n: int, rate: float) -> None:
+        """Hazard: drawn at the highest rate and thinned, so that a burst begins and ends when it should."""
+        first, last, times = self.plan.burst
+        most = rate * max(1.0, times)
+
         def one() -> None:
-            self.arrive(n)
-            self.at(self.now_us + int(self.dice.expovariate(rate) * SECOND_US), one)
+            here = rate * (times if first <= (self.now_us - START_US) / SECOND_US < last else 1.0)
+            if self.dice.random() * most < here:
+                self.arrive(n)
+            self.at(self.now_us + int(self.dice.expovariate(most) * SECOND_US), one)
 
-        self.at(self.now_us + int(self.dice.expovariate(rate) * SECOND_US), one)
+        self.at(self.now_us + int(self.dice.expovariate(most) * SECOND_US), one)
 
-    def arrive(self, n: int) -> None:
+    def arrive(self, n: int, kind: int = -1, refused: int = 0, first_us: int = 0) -> None:
+        """One request; of a client that comes again, its class, how often it has been refused and when it
+        first came."""
         classes = self.plan.settings.classes
-        kind = self.dice.randrange(len(classes))
+        kind = self.dice.randrange(len(classes)) if kind < 0 else kind
         request, due_us = self.next_request, self.now_us + classes[kind].deadline_us
+        if not refused:
+            self.seen.originals[self.second] += 1
         self.next_request += 1
         self.seen.requests += 1
         sidecar = self.sidecars[n]
         sidecar.tries[request] = 0
+        sidecar.began[request] = (self.now_us, kind, refused, first_us or self.now_us)
         self.at(due_us + 4 * self.plan.settings.tick_us, lambda: self.check(sidecar, request))
         self.handle(n, api.RequestArrived(request, due_us, kind))
 
@@ -267,6 +291,9 @@
                 self.send(n, action)
             elif isinstance(action, api.Refuse | api.Fail):
                 self.answer(sidecar, action.request, type(action).__name__.lower())
+                if isinstance(action, api.Refuse):
+                    self.come_again(n, sidecar.began[action.request], action.retry_after_us)
+                sidecar.began.pop(action.request)
             elif isinstance(action, api.SetTimer):
                 self.at_sidecar(action.at_us, n, partial(self.handle, n, api.TimerFired(action.token)))
             elif isinstance(action, api.Probe):
@@ -274,6 +301,13 @@
             elif isinstance(action, api.Subscribe) and action.active:
                 self.call(n)
 
+    def come_again(self, n: int, began: tuple[int, int, int, int], after_us: int) -> None:
+        _, kind, refused, first_us = began
+        if refused >= self.plan.again or self.dice.random() >= self.plan.again_share:
+            return
+        wait_us = max(after_us, int(self.plan.backoff_us * 2 ** refused * (0.5 + self.dice.random())))
+        self.at(self.now_us + wait_us, lambda: self.arrive(n, kind, refused + 1, first_us))
+
     def answer(self, sidecar: Sidecar, request: int, how: str) -> None:
         assert sidecar.tries.pop(request, None) is not None, f"request {request} is answered twice"
         self.seen.answers[self.second][how] += 1
@@ -371,6 +405,11 @@
             sidecar.idle[attempt.upstream].append(self.now_us)
         if outcome is api.Outcome.OK and attempt.request in sidecar.tries:
             self.answer(sidecar, attempt.request, "ok")
+            since_us, kind, _, first_us = sidecar.began.pop(attempt.request)
+            if self.now_us - since_us <= self.plan.settings.classes[kind].aim_us:
+                self.seen.in_time[(first_us - START_US) // SECOND_US] += 1
+            else:
+                self.seen.late[self.second] += 1
         final = attempt.request not in sidecar.tries
         self.handle(attempt.sidecar, api.AttemptEnded(
             attempt.request, attempt.number, attempt.upstream, outcome, self.now_us - attempt.sent_us, final))
--- a/wickspread/emulator/scenes.py
+++ b/wickspread/emulator/scenes.py
@@ -74,4 +74,45 @@
     return fleet.run(5)
 
 
+def crowded(told: Plan) -> Plan:
+    """The same fleet in a burst of twice the load from second 4 to 10, with clients that come again."""
+    return replace(told, burst=(4.0, 10.0, 2.0), again=2)
+
+
+def slow(fleet: EmulatedFleet) -> None:
+    """One in eight takes five times as long from now on."""
+    for node in list(fleet.nodes.values())[::8]:
+        node.capacity.slow = 5.0
+
+
+def crowded_join(told: Plan) -> Seen:
+    """Six in ten are replaced within 4 s, a half each time; then comes a burst while these are cold, and one
+    in eight is slow."""
+    fleet = EmulatedFleet(crowded(told))
+    fleet.run(2)
+    part = told.upstreams * 3 // 10
+    slow(fleet)
+    for first in (0, part):
+        fleet.replace(list(fleet.nodes)[first: first + part])
+        fleet.run(3)
+    return fleet.run(7)
+
+
+def crowded_zone(told: Plan) -> Seen:
+    """A lost site is back, cold, in the middle of a burst, and one in eight of the others is slow."""
+    fleet = EmulatedFleet(crowded(told))
+    fleet.run(2)
+    slow(fleet)
+    lost = [node for node in fleet.nodes.values() if node.entry.zone == 0]
+    for node in lost:
+        fleet.change(replace(node.entry, state=api.UpstreamState.GONE))
+    fleet.run(4)
+    for node in lost:
+        entry = replace(node.entry, started_us=fleet.now_us)
+        fleet.start_node(entry, warm=False)
+        fleet.change(entry)
+    return fleet.run(8)
+
+
+CROWDED = {"crowded-join": crowded_join, "crowded-zone": crowded_zone}
 SCENES = {"herd": herd, "join": join, "lost-zone": lost_zone}
