--- a/tests/recorder/test_recorder.py
+++ b/tests/recorder/test_recorder.py
@@ -183,6 +183,33 @@
     assert (found.now_us, found.event, found.actions, found.fault) == (now_us, event, actions, "")
 
 
+def test_a_killed_sidecars_spool_is_good_up_to_its_last_whole_part(tmp_path: Path) -> None:
+    """What had been written before SIGKILL is played again alike, and it is said that its end is missing."""
+    plan = Plan(nodes=4, rate=200.0, seconds=2.0, seed=13, machine=Machine(work_us=6_000))
+
+    async def play() -> None:
+        scene = Scene(plan)
+        text = f'[recorder]\nenabled = true\nfolder = "{tmp_path}"\nspool_s = 0.05\n'
+        scene.operator = lambda: text  # type: ignore[method-assign]
+        async with scene:
+            await scene.play()
+            process = scene.sidecars[0].process
+            assert process is not None
+            process.kill()
+
+    asyncio.run(asyncio.wait_for(play(), 60.0))
+    found = list(tmp_path.glob("wickspread-sidecar-0-*.rec"))
+    assert len(found) == 1 and found[0].stat().st_mode & 0o077 == 0
+    steps = []
+    with open(found[0], "rb") as file:
+        recording = Recording(file, "spool")
+        with pytest.raises(RecordingError, match="cut off"):
+            for _, one in differences(recording.head, recording.frames()):
+                steps.append(one)
+    assert recording.head.whole and recording.head.why == "a spool"
+    assert len(steps) > 200 and not any(steps)
+
+
 def test_a_real_sidecar_in_a_crowd_is_recorded_and_played_again(tmp_path: Path) -> None:
     """SIGUSR2 twice under load and faults: it is the same day, and tells what became of a request."""
     plan = Plan(nodes=8, rate=250.0, seconds=4.0, seed=11, machine=Machine(work_us=6_000),
--- a/wickspread/operator/schema.py
+++ b/wickspread/operator/schema.py
@@ -87,6 +87,9 @@
     folder: Annotated[Text, said(
         'where SIGUSR2, and a fault of the decisions, write it to; "" = the system\'s own')] = ""
     files: Annotated[int, number(1, 1000, "recordings of one sidecar that are kept there")] = 4
+    spool_s: Annotated[float, number(
+        0.0, 3600.0, "all is written there as it comes, so often; the end loses as much; 0 = not")] = 0.0
+    spool_megabytes: Annotated[int, number(1, 1024, "of one such file, then it ends")] = 256
 
 
 class Operator(Table, frozen=True):
--- a/wickspread/recorder/recording.py
+++ b/wickspread/recorder/recording.py
@@ -55,15 +55,24 @@
     return found.hexdigest()
 
 
+def framed(part: bytes) -> bytes:
+    return len(part).to_bytes(4, "big") + zlib.crc32(part).to_bytes(4, "big") + part
+
+
+def begin(path: str, head: Head) -> BinaryIO:
+    """A file for its owner alone, with its head, to be gone on with. Raises OSError."""
+    handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    file = os.fdopen(handle, "wb")
+    file.write(MAGIC + framed(msgspec.msgpack.encode(head)))
+    return file
+
+
 def write(path: str, head: Head, segments: list[bytes]) -> None:
     """Whole or not at all, for its owner alone. Raises OSError."""
-    part = f"{path}.part"
-    handle = os.open(part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-    with os.fdopen(handle, "wb") as file:
-        file.write(MAGIC)
-        for one in (msgspec.msgpack.encode(head), *segments, b""):
-            file.write(len(one).to_bytes(4, "big") + zlib.crc32(one).to_bytes(4, "big") + one)
-    os.replace(part, path)
+    with begin(f"{path}.part", head) as file:
+        for one in (*segments, b""):
+            file.write(framed(one))
+    os.replace(f"{path}.part", path)
 
 
 class Recording:
--- a/wickspread/recorder/ring.py
+++ b/wickspread/recorder/ring.py
@@ -47,3 +47,10 @@
         """All of it, the oldest first."""
         self.close()
         return list(self.segments)
+
+    def drained(self) -> list[bytes]:
+        """All of it, the oldest first; it is the caller's from now on."""
+        segments = self.taken()
+        self.segments.clear()
+        self.size = 0
+        return segments
--- a/wickspread/recorder/start.py
+++ b/wickspread/recorder/start.py
@@ -9,13 +9,14 @@
 import tempfile
 import time
 from pathlib import Path
+from typing import BinaryIO
 
 from wickspread.decisions import interface as api
 from wickspread.engine.engine import Engine
 from wickspread.operator.error import OperatorError
 from wickspread.operator.schema import Recorder as Told
 from wickspread.recorder.frames import Named, pack
-from wickspread.recorder.recording import Head, digest, write
+from wickspread.recorder.recording import Head, begin, digest, framed, write
 from wickspread.recorder.ring import Ring
 
 log = logging.getLogger("wickspread")
@@ -23,6 +24,12 @@
 FAULT_GAP_S = 60.0  # between two recordings that faults have caused
 
 
+def append(file: BinaryIO, data: bytes) -> None:
+    """Raises OSError."""
+    file.write(data)
+    file.flush()
+
+
 class Recorder:
     """The engine's observer. Hazard: it is on the way of every request; a fault here ends the recording,
     never a request."""
@@ -42,6 +49,9 @@
         self.tasks: set[asyncio.Task[None]] = set()
         engine.recorder = self
         engine.loop.add_signal_handler(signal.SIGUSR2, self.write_out, "SIGUSR2")
+        self.spooled = ""  # the file that all goes to
+        if told.spool_s:
+            self.tasks.add(engine.loop.create_task(self.spool()))
 
     def keep(self, now_us: int, event: object, actions: list[api.Action], fault: str = "") -> None:
         try:
@@ -65,18 +75,47 @@
 
     def write_out(self, why: str) -> None:
         """Beside the loop: some megabytes take the disk a while."""
+        if self.spooled:
+            log.info("recorder: %s has all so far (%s)", self.spooled, why)
+            return
         if len(self.tasks) >= 2:
             log.warning("recorder: two recordings are being written; this one is not")
             return
-        segments, engine = self.ring.taken(), self.engine
-        head = Head(self.name, self.digest, self.seed, engine.started_us, engine.settings, self.ring.whole,
-                    why)
+        segments, engine, head = self.ring.taken(), self.engine, self.head(self.ring.whole, why)
         task = engine.loop.create_task(self.save(head, segments, self.ring.frames))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def head(self, whole: bool, why: str) -> Head:
+        engine = self.engine
+        return Head(self.name, self.digest, self.seed, engine.started_us, engine.settings, whole, why)
+
+    def path(self) -> str:
+        return os.path.join(self.folder, f"wickspread-{self.name}-{time.time_ns() // 1_000_000}.rec")
+
+    async def spool(self) -> None:
+        """All of it as it comes, beside the loop, into one file. It is cut off where the sidecar has ended or
+        was killed, and good up to there."""
+        path, size, loop = self.path(), 0, self.engine.loop
+        self.spooled = path
+        try:
+            with await loop.run_in_executor(None, begin, path, self.head(True, "a spool")) as file:
+                await loop.run_in_executor(None, self.tidy)
+                while size < self.told.spool_megabytes << 20 and self.ring.whole:
+                    await asyncio.sleep(self.told.spool_s)
+                    data = b"".join(framed(one) for one in self.ring.drained())
+                    size += len(data)
+                    await loop.run_in_executor(None, append, file, data)
+                await loop.run_in_executor(None, append, file, framed(b""))
+            why = "it is full" if self.ring.whole else "too much came at once"
+            log.info("recorder: %s ends: %s", path, why)
+        except OSError as error:
+            log.warning("recorder: %s: %s", path, error.strerror or error)
+        finally:
+            self.spooled, self.ring.whole = "", False  # what comes from now on is in the ring alone
+
     async def save(self, head: Head, segments: list[bytes], frames: int) -> None:
-        path = os.path.join(self.folder, f"wickspread-{self.name}-{time.time_ns() // 1_000_000}.rec")
+        path = self.path()
         try:
             await self.engine.loop.run_in_executor(None, write, path, head, segments)
             await self.engine.loop.run_in_executor(None, self.tidy)
@@ -90,7 +129,8 @@
         """Only the last few recordings of this sidecar are kept."""
         found = sorted(Path(self.folder).glob(f"wickspread-{self.name}-*.rec"))
         for path in found[:-self.told.files]:
-            path.unlink(missing_ok=True)
+            if str(path) != self.spooled:
+                path.unlink(missing_ok=True)
 
     def close(self) -> None:
         self.engine.recorder = None
