--- a/benchmarks/crowd.py
+++ b/benchmarks/crowd.py
@@ -4,12 +4,12 @@
 
 FOLDER holds one recording of each sidecar (`[recorder] spool_s`, docs/operate/recorder.md), made with the
 decisions at hand: each is played to them again, so that what a sidecar knew at a refusal can be counted. A
-line a second: tries that came, those of clients that were refused before, sends and of them to cold upstreams,
+line a second: tries that came, those of clients that were refused before, sends and of them to cold ones,
 answers, late ones by where their time went (a cold upstream, a warm one, or over a quarter of the aim in this
 sidecar), time-outs, refusals and of them those for want of a slot in all, how many warm and cold upstreams
 stood idle by what the refusing sidecar knew, and the mean answer of cold and warm ones in ms. Then the slots
 that all sidecars have open together, those in use, and the upstreams that these are for, cold ones by their
-warmth. `--upstreams` lists what each got in that second. Counts of a play, not times: the same on any machine.
+warmth. `--upstreams` lists what each got in that second. Counts, not times: the same on any machine.
 """
 
 from __future__ import annotations
