--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -213,6 +213,34 @@
         assert min(held.values()) >= 3 and sum(held.values()) <= 10 * 4 * 2.5, (instances, held)
 
 
+def test_a_shortage_leaves_its_last_slots_to_the_class_that_is_worth_most_for_its_time() -> None:
+    dear, cheap = 0, 1
+    world = World(settings(instances=40, classes=[RequestClass("buy", 400_000, 1_200_000, worth=10.0),
+                                                  RequestClass("top-up", 750_000, 4_000_000, worth=8.0)]))
+    world.tell_list(upstreams(60))
+
+    def taken(class_index: int) -> list[int]:
+        """How many find a slot, till one finds none."""
+        found = []
+        while world.sends(request := world.arrive(class_index)):
+            found.append(request)
+        return found
+
+    def end(requests: list[int]) -> None:
+        world.advance(100_000)
+        for request in requests:
+            world.end(request, 0, Outcome.OK)
+
+    first = taken(cheap)  # nothing was short till now
+    end([request for request, owed in world.owed.items() if owed.out()])
+    end([request for request, owed in world.owed.items() if owed.out()])  # the one that waited
+    again, more = taken(cheap), taken(dear)
+    assert len(again) < len(first) and len(more) == 3 and len(again) >= len(first) / 2
+    end([request for request, owed in world.owed.items() if owed.out()])
+    world.advance(2_000_000)
+    assert len(taken(cheap)) >= len(first)  # and when nothing is short, none is kept free
+
+
 def test_an_upstream_that_has_restarted_starts_with_fresh_slots() -> None:
     world = ready_world(2)
     churn(world, 100, 100, Outcome.CONNECT_FAILED)
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -20,6 +20,7 @@
 # a few dozen upstreams, and choke these when most of them start anew
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT)
 LEAST_LEARNT = 1 / 8  # what another process has learnt closes an upstream to no less
+RESERVED = 3  # slots of all together that a shortage leaves to the dearest class: see `reserved`
 SMALLEST_WINDOW = 1 / 64  # a failing upstream is tried about once in 64 usual answer times
 ASKED = 3  # free slots whose load is asked for: beyond a few, probes cost more than the better choice gains
 PROBE_GAINS = 0.02  # points of the result that one probe a request can gain: dearer ones are not sent
@@ -244,8 +245,20 @@
 
     def value(self, request: Request) -> float:
         """The worth of a slot's time for this request."""
-        by_work = self.settings.worth_by_work
-        return request.kind.worth / (1.0 if by_work else self.answer_us[request.event.class_index])
+        return self.slot_worth(request.event.class_index)
+
+    def slot_worth(self, class_index: int) -> float:
+        worth = self.settings.classes[class_index].worth
+        return worth if self.settings.worth_by_work else worth / self.answer_us[class_index]
+
+    def reserved(self, request: Request) -> int:
+        """Trunk reservation, as in telephony: in a shortage the last slots are the dearest class's. A few are
+        nearly an absolute priority, as each slot that frees is its first; half stay for the others."""
+        if self.now_us - self.short_us > GAP_US:
+            return 0
+        dearest = max(self.slot_worth(index) for index in range(len(self.answer_us)))
+        few = min(RESERVED, int(self.total.window / 2))
+        return few if self.value(request) < dearest else 0
 
     def half_aim_us(self, class_index: int) -> int:
         """The delay threshold, and the time of a slow answer: the other half is left for a new try."""
@@ -373,7 +386,7 @@
         it queues)."""
         if not self.may_send(request):
             return None, []
-        if not self.asks and self.total.free(self.now_us) <= 0:
+        if not self.asks and self.total.free(self.now_us) <= self.reserved(request):
             return self.spare_cold(request), []
         fleet, warm = self.fleet, self.fleet.warm
         blind = self.random.random() < ANYWAY
