No slots at cold upstreams are dealt below nine sidecars, and their share begins as before

tests/test_rules.py with 6 sidecars in place of 8: those on errors pushed a cold upstream to 1.04 times its budget, as each owned a slot at every one.

--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -169,7 +169,7 @@
         request = world.arrive(1)
         world.advance(5_000)
         world.end(request, 0, Outcome.OK)
-    assert sum(1 for s in world.sends() if s.upstream == 100) <= 12  # 20 would be its share when warm
+    assert sum(1 for s in world.sends() if s.upstream == 100) <= 8  # a third would be its share when warm
 
 
 def test_an_empty_list_and_an_empty_delta_are_taken_calmly() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -193,6 +193,6 @@
 
 
 def test_those_that_take_the_places_of_most_of_a_fleet_are_not_pushed_over() -> None:
-    for skew in ([1, 1, 1], [1] * 8, [2] * 8, [1] * 40, [1] * 200):
+    for skew in ([1, 1, 1], [1] * 6, [1] * 8, [2] * 8, [1] * 10, [1] * 40, [1] * 200):
         for outcome in (Outcome.OK, Outcome.FULL, Outcome.ERROR):
             assert 0 < pushed_share(skew, outcome, new=6) <= 1, (skew, outcome)
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -109,7 +109,7 @@
         self.quickest_us = min(self.half_aims_us)
         self.answer_us = [c.aim_us / 3 for c in settings.classes]  # a class's answers and time-outs, smoothed
         self.total = Slots(1.0)  # of all upstreams together, this sidecar's part of the fleet's
-        self.cold_least = min(1.0, settings.overload_factor / 2.5)
+        self.cold_least = min(1.0, settings.overload_factor / 4)
         self.cold_gain = self.cold_least  # times its share by warmth: what a cold upstream gets
         self.thin = 1.0  # and this part of it, where sidecars are many for their upstreams
         self.shut = 0.0  # share of attempts that got no connection
@@ -346,7 +346,7 @@
         """How long a cold upstream took, in usual answers. Of its warmth only the least is known; while it
         answers sooner than the others it has room, and gets more, until all take as long. Hazard: its answers
         are few, so those of all cold ones count together; with no warm one to go by, none does."""
-        gain = self.cold_gain + (1.0 - min(2.0, late)) / 4 if len(self.fleet.warm) else 0.0
+        gain = self.cold_gain + (1.0 - min(2.0, late)) / 8 if len(self.fleet.warm) else 0.0
         self.cold_gain = max(self.cold_least, min(gain, COLD_MOST * self.settings.overload_factor))
 
     def on_suspected(self, server: Server, weight: float) -> None:
@@ -482,8 +482,9 @@
 
     def spare_cold(self, request: Request) -> Server | None:
         """Hazard: where warm ones are crowded or refuse, their slots, and those of all together, close for
-        what they do; cold ones beside them would stand idle. One that fails at once is no closed loop."""
-        if self.sharing <= FEW or not len(self.fleet.warm):
+        what they do; cold ones beside them would stand idle. One that fails at once is no closed loop; so few
+        that each would have slots at all of them know the upstreams by themselves."""
+        if self.sharing <= MOST_AT_FIRST or not len(self.fleet.warm):
             return None
         tried = [attempt.server for attempt in request.attempts]
         server = self.fleet.spare(self.random, tried, FAILED_ONCE, self.now_us)
