Who holds a dealt slot is reckoned once an upstream, and below nine sidecars no one does

Read again: Fleet.dealt_slots hashed the upstream anew at each refused request, was asked about a time in the future to tell who may hold one, and counted slots of which there is one at most; spare_cold held the bound of eight sidecars apart from the share that it stands for, by another constant that happens to be 8. The turn is kept with the upstream, the bound stands where slots are dealt, and a selection that changes no share deals nothing anew.

--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -482,9 +482,8 @@
 
     def spare_cold(self, request: Request) -> Server | None:
         """Hazard: where warm ones are crowded or refuse, their slots, and those of all together, close for
-        what they do; cold ones beside them would stand idle. One that fails at once is no closed loop; so few
-        that each would have slots at all of them know the upstreams by themselves."""
-        if self.sharing <= MOST_AT_FIRST or not len(self.fleet.warm):
+        what they do; cold ones beside them would stand idle. One that fails at once is no closed loop."""
+        if not len(self.fleet.warm):
             return None
         tried = [attempt.server for attempt in request.attempts]
         server = self.fleet.spare(self.random, tried, FAILED_ONCE, self.now_us)
--- a/wickspread/decisions/fleet.py
+++ b/wickspread/decisions/fleet.py
@@ -54,7 +54,7 @@
 class Server:  # what this sidecar knows of one upstream
     __slots__ = ("entry", "order", "slots", "crowd", "told_us", "size", "resting", "failing", "answer_us",
                  "answered_us", "doubts", "askers", "kept", "well_us", "seat", "shelf", "ranked", "counted",
-                 "noted_us", "low")
+                 "noted_us", "low", "turn")
 
     def __init__(self, entry: api.Upstream, order: float, opening: float) -> None:
         self.entry = entry
@@ -79,6 +79,7 @@
         self.counted = (0.0, 0)  # its size, and its start since the index began, as summed
         self.noted_us = 0  # the rest that is in the heap
         self.low = opening < 1.0  # when last touched, its window was below 1
+        self.turn = 0.0  # in [0, 1): how early this sidecar is among those that its slots are dealt to, cold
 
 
 class Fleet:
@@ -90,7 +91,7 @@
         self.few = settings.instances <= FEW  # draws go by size and open slots
         self.number = settings.self_index  # of this sidecar
         self.cold_slots = COLD_SLOTS / settings.instances
-        self.dealt: dict[int, Server] = {}  # cold ones of whose slots this sidecar has one by then, or more
+        self.dealt: dict[int, Server] = {}  # cold ones with a slot of this sidecar, in time
         self.base_us = now_us  # starts are summed from here, lest sums of Unix times lose digits
         self.servers: dict[int, Server] = {}  # those that have something out, though not used any more, too
         self.warm: Shelf[Server] = Shelf()  # in this sidecar's own order
@@ -118,14 +119,6 @@
         # rule 4: what is out together is what can be sent ahead of what it serves; that grows with its warmth
         return min(free, max(1, int(self.cold_slots * warmth)) - server.slots.used)
 
-    def dealt_slots(self, server: Server, now_us: int) -> int:
-        """Rule 4, in a shortage: of the slots that a cold upstream bears, COLD_SLOTS by its warmth, this
-        sidecar's own. They are dealt out by the sidecars' numbers, so that without a word between them all
-        hold no more than that, and a busy one can use its own at once. What is out in a closed loop is what
-        a budget for a window can be ahead of."""
-        share = self.cold_slots * self.warmth(server, now_us)
-        return int(share + (place_of(server.entry.id)[0] / 2.0**64 + self.number * GOLDEN) % 1.0)
-
     def failing_at(self, part: int) -> float:
         """The failed share that one in `part` of the warm upstreams stays within."""
         return self.failing.at((len(self.failing) - 1) // part) if len(self.failing) else 0.0
@@ -168,7 +161,12 @@
         self.touch(server, now_us)
 
     def deal(self, server: Server) -> None:
-        if self.dealt_slots(server, server.entry.started_us + self.settings.warm_up_us) > 0:
+        """Rule 4, in a shortage: the slots that a cold upstream bears, COLD_SLOTS by its warmth, are dealt
+        out by the sidecars' numbers, so that without a word between them all hold no more than that, and a
+        busy one can use its own at once. What is out in a closed loop is all that a budget for a window can
+        be ahead of. Hazard: so few sidecars that each has a slot at every one together pass that budget."""
+        server.turn = (place_of(server.entry.id)[0] / 2.0**64 + self.number * GOLDEN) % 1.0
+        if 1.0 - server.turn <= self.cold_slots < 1.0:
             self.dealt[server.entry.id] = server
         else:
             self.dealt.pop(server.entry.id, None)
@@ -267,9 +265,11 @@
     def count_slots(self, sharing: float, number: int, now_us: int) -> None:
         """How many sidecars share an upstream, and which of them this is. Draws of few go by size and slots;
         where that changes, all weights are renewed."""
-        few, self.cold_slots, self.number = sharing <= FEW, COLD_SLOTS / sharing, number
-        for server in self.cold.items():
-            self.deal(server)
+        few, cold_slots = sharing <= FEW, COLD_SLOTS / sharing
+        if (cold_slots, number) != (self.cold_slots, self.number):
+            self.cold_slots, self.number = cold_slots, number
+            for server in self.cold.items():
+                self.deal(server)
         if few is not self.few:
             self.few = few
             for server in list(self.servers.values()):
@@ -280,7 +280,7 @@
     def spare(self, dice: random.Random, barred: list[Server], most: float, now_us: int) -> Server | None:
         """A free one of this sidecar's own slots at cold upstreams that fail at most so much."""
         found = [one for one in self.dealt.values()
-                 if one.slots.used < self.dealt_slots(one, now_us) and one.failing <= most
+                 if self.cold_slots * self.warmth(one, now_us) + one.turn >= 1.0 and one.failing <= most
                  and one not in barred and self.open_slots(one, now_us) > 0]
         return dice.choice(found) if found else None
 
