--- a/wickspread/emulator/scenes.py
+++ b/wickspread/emulator/scenes.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from wickspread.decisions import interface as api
-from wickspread.emulator.fleet import EmulatedFleet, Plan, Seen
+from wickspread.emulator.fleet import EmulatedFleet, Node, Plan, Seen
 from wickspread.lab.capacity import Machine
 
 CLASSES = [
@@ -56,14 +56,12 @@
     return fleet.run(3)
 
 
-def lost_zone(told: Plan) -> Seen:
-    """One site says nothing for 6 s, and is cold when it is back; discovery says so after 2 s."""
-    fleet = EmulatedFleet(told)
-    fleet.run(4)
-    lost = [node for node in fleet.nodes.values() if node.entry.zone == 0]
-    for node in lost:
-        node.silent = True
-    fleet.run(2)
+def first_site(fleet: EmulatedFleet) -> list[Node]:
+    return [node for node in fleet.nodes.values() if node.entry.zone == 0]
+
+
+def out_for_4_s(fleet: EmulatedFleet, lost: list[Node]) -> None:
+    """The list leaves them out; then they are back in it, cold."""
     for node in lost:
         fleet.change(replace(node.entry, state=api.UpstreamState.GONE))
     fleet.run(4)
@@ -71,6 +69,17 @@
         entry = replace(node.entry, started_us=fleet.now_us)
         fleet.start_node(entry, warm=False)
         fleet.change(entry)
+
+
+def lost_zone(told: Plan) -> Seen:
+    """One site says nothing for 6 s, and is cold when it is back; discovery says so after 2 s."""
+    fleet = EmulatedFleet(told)
+    fleet.run(4)
+    lost = first_site(fleet)
+    for node in lost:
+        node.silent = True
+    fleet.run(2)
+    out_for_4_s(fleet, lost)
     return fleet.run(5)
 
 
@@ -103,14 +112,7 @@
     fleet = EmulatedFleet(crowded(told))
     fleet.run(2)
     slow(fleet)
-    lost = [node for node in fleet.nodes.values() if node.entry.zone == 0]
-    for node in lost:
-        fleet.change(replace(node.entry, state=api.UpstreamState.GONE))
-    fleet.run(4)
-    for node in lost:
-        entry = replace(node.entry, started_us=fleet.now_us)
-        fleet.start_node(entry, warm=False)
-        fleet.change(entry)
+    out_for_4_s(fleet, first_site(fleet))
     return fleet.run(8)
 
 
--- a/wickspread/recorder/recording.py
+++ b/wickspread/recorder/recording.py
@@ -31,6 +31,10 @@
     """A recording can't be read; one line."""
 
 
+class CutOff(RecordingError):
+    """It ends early, as a killed sidecar's spool does; what came before is good."""
+
+
 @dataclass(slots=True, frozen=True)
 class Head:
     """What the decisions began with."""
@@ -99,12 +103,12 @@
         size = int.from_bytes(before[:4], "big")
         self.read += size + 8
         if len(before) < 8:
-            raise RecordingError(f"{self.name}: it is cut off")
+            raise CutOff(f"{self.name}: it is cut off")
         if size > MOST_PART or self.read > MOST_FILE:
             raise RecordingError(f"{self.name}: too large")
         data = self.file.read(size)
         if len(data) < size:
-            raise RecordingError(f"{self.name}: it is cut off")
+            raise CutOff(f"{self.name}: it is cut off")
         if zlib.crc32(data) != int.from_bytes(before[4:], "big"):
             raise RecordingError(f"{self.name}: a part of it is damaged")
         return data
--- a/wickspread/recorder/replay.py
+++ b/wickspread/recorder/replay.py
@@ -20,8 +20,9 @@
     now: list[Any] | str  # what came of it now, or the fault
 
 
-def differences(head: Head, frames: Iterator[Frame]) -> Iterator[tuple[int, Difference | None]]:
-    """Each step, with its difference if it has one. After the first, the rest is of another state."""
+def steps(head: Head, frames: Iterator[Frame]) -> Iterator[tuple[Balancer, Difference | None, Frame]]:
+    """Each step: the decisions after it, its difference if it has one, and what was recorded. After the first
+    difference the rest is of another state."""
     decisions = Balancer(head.settings, head.seed, head.started_us)
     step = 0
     for frame in frames:
@@ -34,4 +35,10 @@
         except Exception as error:
             now = f"{type(error).__name__}: {error}"
         then = frame.fault or frame.actions
-        yield step, None if now == then else Difference(step, frame, now)
+        yield decisions, None if now == then else Difference(step, frame, now), frame
+
+
+def differences(head: Head, frames: Iterator[Frame]) -> Iterator[tuple[int, Difference | None]]:
+    """The number of each step, with its difference if it has one."""
+    for step, (_, difference, _) in enumerate(steps(head, frames), 1):
+        yield step, difference
--- a/wickspread/recorder/start.py
+++ b/wickspread/recorder/start.py
@@ -8,6 +8,7 @@
 import signal
 import tempfile
 import time
+from collections.abc import Coroutine
 from pathlib import Path
 from typing import BinaryIO
 
@@ -51,7 +52,7 @@
         engine.loop.add_signal_handler(signal.SIGUSR2, self.write_out, "SIGUSR2")
         self.spooled = ""  # the file that all goes to
         if told.spool_s:
-            self.tasks.add(engine.loop.create_task(self.spool()))
+            self.aside(self.spool())
 
     def keep(self, now_us: int, event: object, actions: list[api.Action], fault: str = "") -> None:
         try:
@@ -81,8 +82,11 @@
         if len(self.tasks) >= 2:
             log.warning("recorder: two recordings are being written; this one is not")
             return
-        segments, engine, head = self.ring.taken(), self.engine, self.head(self.ring.whole, why)
-        task = engine.loop.create_task(self.save(head, segments, self.ring.frames))
+        segments, head = self.ring.taken(), self.head(self.ring.whole, why)
+        self.aside(self.save(head, segments, self.ring.frames))
+
+    def aside(self, work: Coroutine[None, None, None]) -> None:
+        task = self.engine.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
