The rig: relays between sidecars, faults of processes and links in the one script

Change: each sidecar may stand behind a relay (UDP and TCP) in which each way of each pair is broken by itself; kill, stop, wipe, a full folder and a stepped wall clock of a process; Process and Said records; a class has a worth; a sidecar's process is a module of its own. Gossip's calls come from the address where the instance is heard, so that who calls is known.

--- a/benchmarks/grpc.py
+++ b/benchmarks/grpc.py
@@ -22,8 +22,9 @@
 from wickspread.lab import http1, http2
 from wickspread.lab.clients import Load
 from wickspread.lab.ledger import Ledger
+from wickspread.lab.process import SidecarProcess
 from wickspread.lab.roster import Roster
-from wickspread.lab.scene import Plan, SidecarProcess, settings
+from wickspread.lab.scene import Plan, settings
 
 NODES = 16
 IN_FLIGHT = 32
--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -28,8 +28,9 @@
 from wickspread.lab.http1 import ClientPeer, Request, ServerPeer
 from wickspread.lab.ledger import Ledger
 from wickspread.lab.nodes import address_of
+from wickspread.lab.process import ROOT, SidecarProcess
 from wickspread.lab.roster import Roster
-from wickspread.lab.scene import LOADS, ROOT, Plan, SidecarProcess, settings
+from wickspread.lab.scene import LOADS, Plan, settings
 
 CLIENTS = 8
 ROUNDS = 5
--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -16,8 +16,9 @@
 import uvloop
 
 from wickspread.lab.ledger import Ledger
+from wickspread.lab.process import SidecarProcess
 from wickspread.lab.roster import Roster
-from wickspread.lab.scene import Plan, SidecarProcess, settings
+from wickspread.lab.scene import Plan, settings
 
 
 async def main(rounds: int) -> None:
--- a/tests/grpc/test_grpcio.py
+++ b/tests/grpc/test_grpcio.py
@@ -18,8 +18,9 @@
 from wickspread.grpc import health
 from wickspread.lab.clients import Load
 from wickspread.lab.ledger import Ledger
+from wickspread.lab.process import SidecarProcess
 from wickspread.lab.roster import Roster
-from wickspread.lab.scene import Plan, SidecarProcess, settings
+from wickspread.lab.scene import Plan, settings
 
 LONG_S = 20.0
 LOADS = (Load("chapter-buy", "at_most_once", 0.5, 10.0), Load("coin-topup", "deduplicated", 0.3, 10.0),
--- a/wickspread/engine/engine.py
+++ b/wickspread/engine/engine.py
@@ -17,6 +17,7 @@
 from wickspread.decisions import interface as api
 from wickspread.decisions.balance import Balancer
 from wickspread.decisions.settings import check_allowed, parse_report
+from wickspread.engine import wall
 from wickspread.engine.bodies import KEEP, Flow, Source
 from wickspread.engine.figures import Figures
 from wickspread.engine.seams import (
@@ -43,7 +44,7 @@
     it without a second clock, and a step of the wall clock later moves nothing."""
 
     def __init__(self) -> None:
-        self.base_ns = time.time_ns() - time.monotonic_ns()
+        self.base_ns = wall.now_ns() - time.monotonic_ns()
 
     def now_us(self) -> int:
         return (self.base_ns + time.monotonic_ns()) // 1000
--- a/wickspread/gossip/transport.py
+++ b/wickspread/gossip/transport.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import logging
-import time
 from collections.abc import Callable
 from typing import Any
 
+from wickspread.engine import wall
 from wickspread.gossip.codec import MOST_STATE
 from wickspread.gossip.instance import Address, Datagram, Exchange, Instance, Output, Sized, Suspect
 from wickspread.gossip.keys import Refused
@@ -39,11 +40,13 @@
         self.next_complaint = 0.0
         self.refused = 0  # as last logged
         self.closed = False
+        self.local: Address | None = None  # calls are made from there; None = the system's choice
 
     async def open(self, bind: Address) -> Address:
         """Listen by both. Raises OSError."""
         self.tcp = await asyncio.start_server(self.serve, *bind, limit=1 << 16)
         host, port = self.tcp.sockets[0].getsockname()[:2]
+        self.local = None if ipaddress.ip_address(host).is_unspecified else (host, 0)
         try:
             self.udp, _ = await self.loop.create_datagram_endpoint(lambda: self, (host, port))
         except OSError:
@@ -71,7 +74,8 @@
     async def call(self, address: Address) -> None:
         try:
             async with asyncio.timeout(EXCHANGE_S):
-                reader, writer = await asyncio.open_connection(*address)
+                # from the address where we are heard: who is called may go by it
+                reader, writer = await asyncio.open_connection(*address, local_addr=self.local)
         except (OSError, TimeoutError):
             return
         await self.exchange(reader, writer, first=True)
@@ -169,4 +173,4 @@
 
 
 def wall_us() -> int:
-    return time.time_ns() // 1000
+    return wall.now_ns() // 1000
--- a/wickspread/lab/clients.py
+++ b/wickspread/lab/clients.py
@@ -23,6 +23,7 @@
     share: float
     deadline_s: float
     body: int = 64  # bytes, where it has a body
+    worth: float = 1.0  # of one that is served within its aim
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,6 +60,13 @@
         self.rate = 0.0  # requests a second, as the scene has it
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def move(self, address: tuple[str, int]) -> None:
+        """The sidecar has been started anew and listens elsewhere."""
+        if address != self.address:
+            self.address = address
+            while self.idle:
+                self.idle.pop().abort()
+
     async def play(self, rate: float, seconds: float, most: int = 1_000_000) -> None:
         """So many requests a second, at random times, for so long and at most so many."""
         loop = asyncio.get_running_loop()
--- a/wickspread/lab/ledger.py
+++ b/wickspread/lab/ledger.py
@@ -107,9 +107,28 @@
     text: str
 
 
-Record = Asked | Answered | Quit | Received | Ran | Told | Started | Fell | Faulted
+@dataclass(slots=True, frozen=True)
+class Process:
+    """Something was done to a sidecar's process: started, killed, stopped, woken, ending, ended, wiped ..."""
+
+    at_us: int
+    sidecar: str
+    what: str
+
+
+@dataclass(slots=True, frozen=True)
+class Said:
+    """A sidecar has written something about itself; its time is its own, of the machine's monotonic clock."""
+
+    at_us: int
+    sidecar: str
+    topic: str
+    data: str  # JSON
+
+
+Record = Asked | Answered | Quit | Received | Ran | Told | Started | Fell | Faulted | Process | Said
 KINDS: dict[str, type[Any]] = {one.__name__: one for one in (
-    Asked, Answered, Quit, Received, Ran, Told, Started, Fell, Faulted)}
+    Asked, Answered, Quit, Received, Ran, Told, Started, Fell, Faulted, Process, Said)}
 
 
 FITTING: dict[str, tuple[type, ...]] = {"int": (int,), "str": (str,), "bool": (bool,), "float": (int, float)}
--- a/wickspread/lab/show.py
+++ b/wickspread/lab/show.py
@@ -16,7 +16,8 @@
 from wickspread.lab.capacity import Machine
 from wickspread.lab.checker import Breach, Row, table
 from wickspread.lab.ledger import Answered, Asked, Fell
-from wickspread.lab.scene import Plan, Scene, SceneError
+from wickspread.lab.process import SceneError
+from wickspread.lab.scene import Plan, Scene
 from wickspread.lab.script import Fault
 
 MOST_BREACHES = 10  # are printed
