--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -67,7 +67,7 @@
         await door.open(config.door)
     running: list[Running] = []
     if operator is not None:
-        running = await start_wanted(Context(config, operator, engine, directory, server, discovery))
+        running = await start_wanted(Context(config, operator, engine, directory, server, discovery, door))
     log.info("runs %s", compiled.state)
     assert discovery.sink is not None
     discovery.sink.list_changed(api.ListKind.CACHED, known, version)
--- a/wickspread/daemon/subsystems.py
+++ b/wickspread/daemon/subsystems.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
 from wickspread.daemon.config import Config
@@ -19,6 +19,7 @@
 from wickspread.roster.listing import Directory
 
 if TYPE_CHECKING:
+    from wickspread.operations.door import Door
     from wickspread.operator.schema import Operator
 
 
@@ -32,6 +33,8 @@
     directory: Directory
     server: Listener
     discovery: Discovery  # who tells the platform's list; its `sink` may be changed
+    door: Door | None = None  # where operators call
+    parts: dict[str, Running] = field(default_factory=dict)  # that have been started, by their key
 
 
 class Running(Protocol):
@@ -77,6 +80,18 @@
     return gossip
 
 
+async def start_overload(context: Context) -> Running:
+    from wickspread.gossip.start import Gossiping
+    from wickspread.overload.start import Together
+
+    gossip = context.parts.get("gossip")
+    if not isinstance(gossip, Gossiping):
+        raise OperatorError("overload.enabled: needs gossip; gossip.bind names no address")
+    together = Together(context.operator.overload, context.engine, gossip, context.config.seed, context.door)
+    together.start()
+    return together
+
+
 # In the order of their start; they end in the other one.
 ALL = (
     # hazard: before all that may tell the decisions something, or a recording would not begin at their start
@@ -85,6 +100,7 @@
     Subsystem("membership.etcd", "etcd",
               lambda told: bool(told.membership.etcd.endpoints or told.membership.socket), start_membership),
     Subsystem("gossip", "gossip", lambda told: bool(told.gossip.bind), start_gossip),
+    Subsystem("overload.enabled", "gossip", lambda told: told.overload.enabled, start_overload),
 )
 
 
@@ -96,6 +112,7 @@
         for one in all_of_them:
             if one.wanted(context.operator):
                 running.append(await one.start(context))
+                context.parts[one.key] = running[-1]
     except ModuleNotFoundError as error:
         close_all(running)
         raise OperatorError(f"{one.key}: needs the `{one.extra}` extra; no {error.name}") from error
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -12,6 +12,7 @@
 from functools import partial
 
 from wickspread.decisions import interface as api
+from wickspread.decisions.bucket import Bucket
 from wickspread.decisions.fleet import FEW, FULL_LOAD, FULL_SHARED, MOST_SLOTS, Fleet, Server, Slots
 from wickspread.decisions.subset import Subset
 
@@ -35,6 +36,8 @@
 TRIAL = 1 / 8  # and the window then, at most
 TRIAL_US = 500_000  # between the trials of all sidecars together
 MOST_TRIAL_US = 5_000_000  # one sidecar's rest before a trial, half as long again at most
+SHORT_US = 3_000_000  # a shortage of its own is heeded so long
+EARLY_US = 20_000  # a client may come so much sooner than it was told to
 FORGIVEN = 1 / 1024  # a failed share that says nothing any more
 FAILED_ONCE = 1 / 32  # one that a single failure passes
 COLD_MOST = 0.8  # of the multiple at which a cold upstream falls; what is left is for chance
@@ -114,6 +117,8 @@
         self.thin = 1.0  # and this part of it, where sidecars are many for their upstreams
         self.shut = 0.0  # share of attempts that got no connection
         self.short_us = 0  # when a request last found no free slot
+        self.told: api.Overload | None = None  # what the fleet has settled on
+        self.reissues, self.probes = Bucket(now_us), Bucket(now_us)
         self.next_log_us = now_us
         self.wakeups: list[tuple[int, str, int]] = []  # (when, what, request); a heap
         self.armed_us = 0  # the next timer already asked for; 0 = none
@@ -148,6 +153,11 @@
             self.on_learnt(event)
         elif isinstance(event, api.Suspected) and event.upstream in self.servers:
             self.on_suspected(self.servers[event.upstream], event.weight)
+        elif isinstance(event, api.Overload):
+            self.told = event
+            self.reissues.fill(event.reissues_per_s, now_us)
+            self.probes.fill(event.probes_per_s, now_us)
+            self.fleet.lease(event.share, event.until_us, now_us)
         elif isinstance(event, api.FleetSized):
             self.subset.number(event.self_index, event.instances)
             self.select()
@@ -159,7 +169,8 @@
                     self.choose(self.asking[ident])
         if self.select_soon:
             self.select()
-        if self.buffer is not None and len(self.fleet.warm):  # rule 4: cold ones are drawn once a request
+        leased = self.fleet.leased(now_us)
+        if self.buffer is not None and (len(self.fleet.warm) or leased):  # rule 4: cold ones once a request
             request, (server, _) = self.buffer, self.draw(self.buffer)
             if server is not None:
                 self.buffer = None
@@ -172,11 +183,35 @@
         request = self.requests[event.request] = Request(event, self.settings, self.now_us)
         if self.now_us >= self.sort_us:
             self.renew()
-        self.place(request)
+        if self.cut(event):
+            self.finish(request, shed=True)
+        else:
+            self.place(request)
+
+    def as_one(self) -> api.Overload | None:
+        """What the fleet has settled on, while it counts."""
+        return self.told if self.told is not None and self.now_us < self.told.until_us else None
+
+    def cut(self, event: api.RequestArrived) -> bool:
+        """In a shortage of its own it sheds what all shed: who comes back too soon, and of each class the
+        keys beyond the share that fits, so that a repeat meets the same verdict everywhere. Who comes back
+        when it was told to goes first."""
+        told = self.as_one()
+        if told is None or self.now_us - self.short_us > SHORT_US:
+            return False
+        if event.back_us > self.now_us + EARLY_US:
+            return True
+        share = (told.returning if event.back_us else told.kept)[event.class_index]
+        mixed = ((event.key or event.request) ^ told.number * MIXER) * MIXER >> 24
+        return mixed % 2**20 >= share * 2**20
+
+    def may_reissue(self, request: Request) -> bool:
+        """The fleet's budget of them: what all repeat together must not hold the upstreams down."""
+        return not request.attempts or self.as_one() is None or self.reissues.take(self.now_us)
 
     def place(self, request: Request) -> None:
         """Through a free slot, else into the buffer, else refused."""
-        in_time = self.now_us < self.latest_start_us(request)
+        in_time = self.now_us < self.latest_start_us(request) and self.may_reissue(request)
         server, found = self.draw(request) if in_time else (None, [])
         short = server is None and in_time and self.may_send(request)
         self.short_us = self.now_us if short else self.short_us
@@ -209,6 +244,8 @@
         """The first that holds nothing, asked one by one, else the least crowded; refused if that is full."""
         for server in request.asking if wait else []:
             if self.now_us - server.told_us > self.fresh_us:
+                if server is not request.asked and not self.may_probe():
+                    continue
                 if server is not request.asked:
                     request.asked = server
                     self.actions.append(api.Probe(server.entry.id))
@@ -228,6 +265,9 @@
         else:
             self.send(request, one)
 
+    def may_probe(self) -> bool:
+        return self.as_one() is None or self.probes.take(self.now_us)
+
     def stop_asking(self, request: Request) -> None:
         self.asking.pop(request.event.request, None)
         for server in request.asking:
@@ -269,7 +309,7 @@
         class_index = request.event.class_index
         return request.until_us - min(int(self.answer_us[class_index]), self.half_aim_us(class_index))
 
-    def finish(self, request: Request) -> None:
+    def finish(self, request: Request, shed: bool = False) -> None:
         """Rule 1 and 2, the one place of final answers: one each; refused only if nothing may have run."""
         if request.done:
             return
@@ -279,8 +319,13 @@
         self.close(request)
         # about when a slot frees: one answer's time, spread lest refused clients return together
         after_us = int(self.answer_us[request.event.class_index] * (0.5 + self.random.random()))
+        told = self.as_one()
+        if told is not None and told.return_us:
+            early_us = request.event.back_us - self.now_us
+            after_us = early_us if early_us > 0 else int(told.return_us * (1.0 + self.random.random()) / 2)
         most_us = self.settings.max_retry_after_us * self.settings.retry_after
-        self.actions.append(api.Refuse(ident, min(after_us, most_us)) if harmless else api.Fail(ident))
+        after_us = min(after_us, most_us)
+        self.actions.append(api.Refuse(ident, after_us, shed) if harmless else api.Fail(ident))
 
     def close(self, request: Request) -> None:
         request.done = True
@@ -300,7 +345,9 @@
         full = FULL_SHARED - (FULL_SHARED - FULL_LOAD) * min(1.0, part)
         # hazard: a heavy request is slow by itself; many answers are judged together, each for a little
         served = outcome is api.Outcome.OK
-        load = min(2.0, elapsed_us / slow_us) if served else 2.0
+        # hazard: what is cold is slow by nature; by the fleet's leases it can't be crowded
+        warmth = self.fleet.warmth(server, self.now_us) if self.as_one() and attempt.cold else 1.0
+        load = min(2.0, elapsed_us * warmth / slow_us) if served else 2.0
         needed = attempt.sent_us <= self.short_us + int(4 * slow_us * min(1.0, part))
         if outcome in (api.Outcome.OK, api.Outcome.FULL) and slots.window >= 0.5:
             # hazard: small sidecars crowd the fleet, each too seldom at one upstream to learn it; silence is
@@ -326,6 +373,11 @@
                 # hazard: beside answers of seconds, short rests leave a choked upstream crowded
                 busy_us = max(min(self.answer_us[class_index], slow_us), min(elapsed_us, 2 * slow_us))
                 resting.rest(self.now_us, busy_us, self.random.random())
+        told = self.as_one()
+        if told is not None and not served and server.failing >= SUSPECT and told.tries_per_s > 0.0:
+            # hazard: the tries of all sidecars together hold a returning upstream down
+            rest_us = min(1e6 / told.tries_per_s, MOST_TRIAL_US) * (0.5 + self.random.random())
+            slots.rest_until_us = max(slots.rest_until_us, self.now_us + int(rest_us))
         if attempt.cold and outcome in (api.Outcome.OK, api.Outcome.TIMEOUT):
             self.follow_cold(elapsed_us / self.answer_us[class_index])
         if served:
@@ -362,7 +414,7 @@
             server.kept = server.slots.window
             server.slots.window = min(server.slots.window, TRIAL)
             self.rest_before_trial(server)
-            if self.settings.probes:
+            if self.settings.probes and self.may_probe():
                 self.actions.append(api.Probe(server.entry.id))
         self.fleet.touch(server, self.now_us)
 
@@ -463,9 +515,9 @@
         share of capacity, by a quarter of the multiple, and more while it answers sooner than they. Hazard:
         in a shortage all would fall on it, by hundreds of sidecars."""
         fleet = self.fleet
-        if warm is None and len(fleet.warm):
+        if warm is None and (len(fleet.warm) or fleet.leased(self.now_us)):
             # one out from each of a few sidecars can't choke it, unless it fails at once
-            if self.sharing > FEW:
+            if self.sharing > FEW or fleet.leased(self.now_us):
                 return self.spare_cold(request)
             if group is None:
                 return fleet.cold.any_open(self.random, ILL / 2)
@@ -483,7 +535,7 @@
     def spare_cold(self, request: Request) -> Server | None:
         """Hazard: where warm ones are crowded or refuse, their slots, and those of all together, close for
         what they do; cold ones beside them would stand idle. One that fails at once is no closed loop."""
-        if not len(self.fleet.warm):
+        if not len(self.fleet.warm) and not self.fleet.leased(self.now_us):
             return None
         tried = [attempt.server for attempt in request.attempts]
         server = self.fleet.spare(self.random, tried, FAILED_ONCE, self.now_us)
--- a/wickspread/decisions/fleet.py
+++ b/wickspread/decisions/fleet.py
@@ -92,6 +92,7 @@
         self.number = settings.self_index  # of this sidecar
         self.cold_slots = COLD_SLOTS / settings.instances
         self.dealt: dict[int, Server] = {}  # cold ones with a slot of this sidecar, in time
+        self.leased_slots, self.leased_us = 0.0, 0  # in place of `cold_slots`, until then
         self.base_us = now_us  # starts are summed from here, lest sums of Unix times lose digits
         self.servers: dict[int, Server] = {}  # those that have something out, though not used any more, too
         self.warm: Shelf[Server] = Shelf()  # in this sidecar's own order
@@ -117,7 +118,19 @@
         if warmth >= 1.0:
             return free
         # rule 4: what is out together is what can be sent ahead of what it serves; that grows with its warmth
-        return min(free, max(1, int(self.cold_slots * warmth)) - server.slots.used)
+        most = (int(self.leased_slots * warmth + server.turn) if self.leased(now_us)
+                else max(1, int(self.cold_slots * warmth)))
+        return min(free, most - server.slots.used)
+
+    def leased(self, now_us: int) -> bool:
+        return now_us < self.leased_us
+
+    def lease(self, share: float, until_us: int, now_us: int) -> None:
+        """This sidecar's part of what cold upstreams bear, by the fleet's word. All sidecars' parts together
+        are no more than the whole."""
+        self.leased_slots, self.leased_us = COLD_SLOTS * share, until_us
+        for server in self.cold.items():  # what is open grows with their warmth
+            self.touch(server, now_us)
 
     def failing_at(self, part: int) -> float:
         """The failed share that one in `part` of the warm upstreams stays within."""
@@ -279,6 +292,8 @@
 
     def spare(self, dice: random.Random, barred: list[Server], most: float, now_us: int) -> Server | None:
         """A free one of this sidecar's own slots at cold upstreams that fail at most so much."""
+        if self.leased(now_us):
+            return self.cold.any_open(dice, most)
         found = [one for one in self.dealt.values()
                  if self.cold_slots * self.warmth(one, now_us) + one.turn >= 1.0 and one.failing <= most
                  and one not in barred and self.open_slots(one, now_us) > 0]
--- a/wickspread/decisions/interface.py
+++ b/wickspread/decisions/interface.py
@@ -175,6 +175,7 @@
     cost_us: int = 0  # expected work on a standard core; 0 = not known
     retried: bool = False  # the client sends it again
     write: bool = False
+    back_us: int = 0  # when its client was told to come back; 0 = it was not
 
 
 @dataclass(slots=True)
@@ -246,6 +247,21 @@
     self_index: int
 
 
+@dataclass(slots=True)
+class Overload:
+    """What all sidecars together have settled on; in place of what was told before."""
+
+    share: float  # of the fleet's budgets, that this sidecar may spend: 0 to 1
+    kept: list[float]  # by class, the share of its requests that fits, 0 to 1
+    returning: list[float]  # the same of those that come back when they were told to
+    number: int  # of the cut: which requests of a class those are
+    return_us: int  # in which refused clients are told to come back; 0 = as usual
+    until_us: int  # all this counts until then
+    reissues_per_s: float  # of this sidecar, as the two below
+    probes_per_s: float
+    tries_per_s: float  # at each upstream that fails
+
+
 @dataclass(slots=True)
 class TimerFired:
     token: int
@@ -258,7 +274,7 @@
 
 
 Event = (UpstreamsUpdated | RequestArrived | RequestGone | AttemptEnded | StreamStarted | ProbeEnded
-         | Learnt | Suspected | FleetSized | TimerFired | PeerMessage)
+         | Learnt | Suspected | FleetSized | Overload | TimerFired | PeerMessage)
 
 
 # Actions
@@ -279,6 +295,7 @@
 
     request: int
     retry_after_us: int = 0  # 0 = no advice
+    shed: bool = False  # by what all sidecars have settled on, not for want of a slot
 
 
 @dataclass(slots=True)
--- a/wickspread/engine/engine.py
+++ b/wickspread/engine/engine.py
@@ -27,6 +27,7 @@
     Decisions,
     Discovery,
     Finished,
+    Fleet,
     Host,
     Nodes,
     Recorder,
@@ -90,6 +91,7 @@
         self.listed = asyncio.Event()  # discovery has told a list, or a part of one
         self.observe: Callable[[int, api.Outcome], None] | None = None  # who hears how each attempt ended
         self.recorder: Recorder | None = None
+        self.fleet: Fleet | None = None
         self.hold: Callable[[list[Host]], None] | None = None  # by operators' hands: may make entries drain
 
     # From the application
@@ -103,8 +105,9 @@
         entry.guard = self.later(call.due_us, self.overdue, ident)
         if self.recorder is not None:
             self.recorder.named(ident, call.ident)
+        back_us = self.fleet.arrived(call) if self.fleet is not None else 0
         self.tell(api.RequestArrived(ident, call.due_us, call.class_index, call.tenant, call.key,
-                                     call.cost_us, call.retried))
+                                     call.cost_us, call.retried, False, back_us))
         return ident
 
     def uploaded(self, ident: int) -> None:
@@ -199,6 +202,9 @@
                 self.send(action)
             case api.Refuse():
                 after = action.retry_after_us
+                entry = self.requests.get(action.request)
+                if self.fleet is not None and entry is not None and not entry.answered:
+                    self.fleet.refused(entry.call, after, action.shed)
                 head = b"Retry-After: %d.%06d\r\n" % divmod(after, 1_000_000) if after > 0 else b""
                 self.answer(action.request, 503, head)
             case api.Fail():
@@ -377,8 +383,10 @@
         engine, entry = self.engine, self.entry
         if entry.answered and entry.out == 0:
             engine.requests.pop(self.ident, None)
-        engine.tell(api.AttemptEnded(self.ident, self.attempt, self.upstream, outcome,
-                                     engine.clock.now_us() - self.sent_us, entry.answered,
-                                     engine.report(load) if load else []))
+        elapsed_us = engine.clock.now_us() - self.sent_us
+        if engine.fleet is not None:
+            engine.fleet.ended(entry.call.class_index, outcome, elapsed_us)
+        engine.tell(api.AttemptEnded(self.ident, self.attempt, self.upstream, outcome, elapsed_us,
+                                     entry.answered, engine.report(load) if load else []))
         if engine.observe is not None:
             engine.observe(self.upstream, outcome)
--- a/wickspread/engine/seams.py
+++ b/wickspread/engine/seams.py
@@ -150,6 +150,18 @@
     def known(self) -> dict[int, Host]: ...
 
 
+class Fleet(Protocol):
+    """Who counts requests for all sidecars together, and knows what clients were told. None of it raises, or
+    takes long."""
+
+    def arrived(self, call: Call) -> int:
+        """When its client was told to come back, on our clock; 0 = it was not."""
+
+    def refused(self, call: Call, after_us: int, shed: bool) -> None: ...
+
+    def ended(self, class_index: int, outcome: api.Outcome, elapsed_us: int) -> None: ...
+
+
 class Recorder(Protocol):
     """Who keeps what goes into the decisions and what comes out. None of it raises, or takes long."""
 
--- a/wickspread/gossip/codec.py
+++ b/wickspread/gossip/codec.py
@@ -18,6 +18,7 @@
 MOST_STATE = 512 * 1024  # of one side of an exchange
 MOST_RUMOURS = 8
 MOST_COUNTS = 8  # nodes of a bulletin
+MOST_WORD = 512  # bytes of another subsystem's word
 MOST_NAME = 64
 MOST_WHOLE = 2**53  # of any number: incarnations, times, counts
 
@@ -76,7 +77,14 @@
     counts: Annotated[list[Count], Meta(max_length=MOST_COUNTS)]
 
 
-Statement = Alive | Accusation | Bulletin
+class Word(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """Of another subsystem, to all; in place of its author's last one on that topic."""
+
+    topic: Name
+    body: Annotated[bytes, Meta(max_length=MOST_WORD)]
+
+
+Statement = Alive | Accusation | Bulletin | Word
 
 
 class Signed(msgspec.Struct, array_like=True, frozen=True):
@@ -114,7 +122,14 @@
     """Rumours alone, to be passed on at once where they are new."""
 
 
-Message = Ping | Ack | Nack | Ask | News
+class Note(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """Of another subsystem, to this one alone."""
+
+    topic: Name
+    body: Annotated[bytes, Meta(max_length=MOST_WORD)]
+
+
+Message = Ping | Ack | Nack | Ask | News | Note
 
 
 class Packet(msgspec.Struct, array_like=True, frozen=True):
--- a/wickspread/gossip/core.py
+++ b/wickspread/gossip/core.py
@@ -26,9 +26,11 @@
     Message,
     Nack,
     News,
+    Note,
     Ping,
     Signed,
     Statement,
+    Word,
 )
 from wickspread.gossip.peers import Life, Peer, Peers
 from wickspread.gossip.rumours import MOST, ROOM, Rumours, size_of
@@ -53,6 +55,7 @@
 MOST_RELAYS = 64
 MOST_SEEN = 16384  # signatures of rumours: more than the rumours of a large fleet in some seconds
 MOST_ACCUSERS = 16
+MOST_TOPICS = 4  # of one author
 
 
 @dataclass(slots=True)
@@ -99,7 +102,17 @@
     name: str
 
 
-Action = Send | Exchange | Heard | Left
+@dataclass(slots=True, frozen=True)
+class Told:
+    """A peer's word for another subsystem: to all, or to us alone."""
+
+    author: str
+    topic: str
+    body: bytes
+    alone: bool
+
+
+Action = Send | Exchange | Heard | Left | Told
 
 
 class Core:
@@ -133,6 +146,7 @@
         self.ping_us = now_us + int(PERIOD_US * dice.random())
         self.exchange_us = now_us + int(JOIN_US * dice.random())
         self.counts: Counter[str] = Counter()
+        self.words: dict[tuple[str, str], int] = {}  # by author and topic, when the last one was signed
         self.seen: OrderedDict[bytes, None] = OrderedDict()  # signatures of what was heard
         self.spread("alive", self.own)
 
@@ -189,6 +203,8 @@
         for one in [one for one in self.peers.dead() if now_us >= one.since_us + DEAD_US]:
             self.peers.forget(one)
             self.bulletins.pop(one.name, None)
+            for key in [key for key in self.words if key[0] == one.name]:
+                del self.words[key]
         actions += self.pass_on(now_us)
         if self.hot and now_us >= self.hot_us:
             actions += self.tell_news(now_us)
@@ -288,6 +304,8 @@
             self.seq += 1
             self.relays[self.seq] = peer.address, message.seq, now_us + ANSWER_US * 4 // 5
             return [self.send(target.address, Ping(self.seq, target.name), target)]
+        if isinstance(message, Note) and peer is not None:
+            return [Told(sender, message.topic, message.body, alone=True)]
         return []
 
     def acked(self, seq: int, sender: str) -> list[Action]:
@@ -318,6 +336,8 @@
             return self.on_alive(told, statement, now_us)
         if isinstance(statement, Accusation):
             return self.on_accusation(told, statement, now_us)
+        if isinstance(statement, Word):
+            return self.on_word(told, statement)
         return self.on_bulletin(told, statement, now_us)
 
     def on_alive(self, told: Signed, alive: Alive, now_us: int) -> list[Action]:
@@ -387,6 +407,27 @@
         peer.urgent(now_us)
         return heard + self.news(told, now_us, URGENT_WAIT_US)
 
+    def on_word(self, told: Signed, word: Word) -> list[Action]:
+        """Passed on with the pings, as all that is no news of a node."""
+        peer, key = self.peers.get(told.author), (told.author, word.topic)
+        if peer is None or peer.life is Life.DEAD or told.at_us - self.words.get(key, 0) < LEAST_GAP_US:
+            return []
+        if key not in self.words and sum(author == told.author for author, _ in self.words) >= MOST_TOPICS:
+            self.counts["topics over the limit"] += 1
+            return []
+        self.words[key] = told.at_us
+        self.spread("word", told, told.author, word.topic)
+        return [Told(told.author, word.topic, word.body, alone=False)]
+
+    def say(self, word: Word) -> None:
+        """A word of our own, in place of the last on its topic."""
+        self.spread("word", self.sign(word), self.name, word.topic)
+
+    def note(self, name: str, note: Note) -> list[Action]:
+        """To one that lives; [] if it does not."""
+        peer = self.peers.get(name)
+        return [] if peer is None or peer.life is Life.DEAD else [self.send(peer.address, note, peer)]
+
     def pass_on(self, now_us: int) -> list[Action]:
         """What came too soon after its author's last news."""
         actions: list[Action] = []
--- a/wickspread/gossip/instance.py
+++ b/wickspread/gossip/instance.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from wickspread.decisions.interface import Outcome
+from wickspread.gossip import codec
 from wickspread.gossip import core as swim
 from wickspread.gossip.codec import MOST_STATE, Alive, Message, Signed, Statement
 from wickspread.gossip.evidence import WINDOW_US, Combiner, Own
@@ -53,7 +54,18 @@
     index: int
 
 
-Output = Datagram | Exchange | Suspect | Sized
+@dataclass(slots=True, frozen=True)
+class Word:
+    """For another subsystem, of a peer: said to all, or to us alone; or that peer is held for dead."""
+
+    author: str
+    topic: str
+    body: bytes
+    alone: bool = False
+    left: bool = False
+
+
+Output = Datagram | Exchange | Suspect | Sized | Word
 
 
 class Census:
@@ -198,6 +210,18 @@
         self.unsaid, self.publish_us = False, now_us + GAP_US
         return self.outputs(self.core.publish(self.own.bulletin(now_us), True, now_us), now_us)
 
+    # From other subsystems
+
+    def say(self, topic: str, body: bytes, wall_us: int) -> None:
+        """To all, with the pings."""
+        self.wall_us = wall_us
+        self.core.say(codec.Word(topic, body))
+
+    def note(self, name: str, topic: str, body: bytes, now_us: int, wall_us: int) -> list[Output]:
+        """To one, at once."""
+        self.wall_us = wall_us
+        return self.outputs(self.core.note(name, codec.Note(topic, body)), now_us)
+
     # Time
 
     def tick(self, now_us: int, wall_us: int) -> list[Output]:
@@ -230,6 +254,9 @@
                 found.append(Exchange(action.address))
             elif isinstance(action, swim.Left):
                 found += self.weigh(self.combiner.drop(action.name), now_us)
+                found.append(Word(action.name, "", b"", left=True))
+            elif isinstance(action, swim.Told):
+                found.append(Word(action.author, action.topic, action.body, action.alone))
             else:
                 names = self.combiner.take(action.author, action.site, action.bulletin, now_us)
                 found += self.weigh(names, now_us)
--- a/wickspread/gossip/start.py
+++ b/wickspread/gossip/start.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+from collections.abc import Callable
 from typing import Any
 
 from wickspread.decisions import interface as api
@@ -14,7 +15,7 @@
 from wickspread.engine.engine import Engine
 from wickspread.gossip.credentials import Credentials, Watch
 from wickspread.gossip.files import FileError
-from wickspread.gossip.instance import Instance, Sized, Suspect
+from wickspread.gossip.instance import Instance, Sized, Suspect, Word
 from wickspread.gossip.keys import Keyring
 from wickspread.gossip.transport import Transport, log, wall_us
 from wickspread.membership.show import listen
@@ -44,6 +45,22 @@
         self.transport: Transport | None = None
         self.window: asyncio.Server | None = None
         self.watch: asyncio.TimerHandle | None = None
+        self.listeners: dict[str, Callable[[Word], None]] = {}  # other subsystems, by topic
+
+    @property
+    def name(self) -> str:
+        return self.keyring.certificate.name
+
+    def say(self, topic: str, body: bytes) -> None:
+        """To all sidecars, within some seconds."""
+        if self.transport is not None:
+            self.transport.instance.say(topic, body, wall_us())
+
+    def note(self, name: str, topic: str, body: bytes) -> None:
+        """To one, if it comes through."""
+        if self.transport is not None:
+            self.transport.perform(self.transport.instance.note(name, topic, body,
+                                                                self.engine.clock.now_us(), wall_us()))
 
     async def start(self) -> None:
         """Raises OperatorError where an address can't be listened on."""
@@ -91,7 +108,12 @@
             self.engine.observe = None
             log.exception("gossip: what this sidecar sees is told no more")
 
-    def take(self, one: Suspect | Sized) -> None:
+    def take(self, one: Suspect | Sized | Word) -> None:
+        if isinstance(one, Word):
+            for topic, listener in self.listeners.items():
+                if one.left or topic == one.topic:
+                    listener(one)
+            return
         if isinstance(one, Sized):
             self.engine.tell(api.FleetSized(one.instances, one.index))
             return
--- a/wickspread/gossip/transport.py
+++ b/wickspread/gossip/transport.py
@@ -11,7 +11,7 @@
 
 from wickspread.engine import wall
 from wickspread.gossip.codec import MOST_STATE
-from wickspread.gossip.instance import Address, Datagram, Exchange, Instance, Output, Sized, Suspect
+from wickspread.gossip.instance import Address, Datagram, Exchange, Instance, Output, Sized, Suspect, Word
 from wickspread.gossip.keys import Refused
 
 log = logging.getLogger("wickspread")
@@ -26,7 +26,7 @@
     """One instance on its sockets."""
 
     def __init__(self, instance: Instance, now_us: Callable[[], int],
-                 told: Callable[[Suspect | Sized], None]) -> None:
+                 told: Callable[[Suspect | Sized | Word], None]) -> None:
         self.instance = instance
         self.now_us = now_us
         self.told = told  # who takes what comes of it
--- a/wickspread/lab/flock.py
+++ b/wickspread/lab/flock.py
@@ -14,7 +14,7 @@
 from wickspread.decisions.balance import BELIEVED
 from wickspread.decisions.interface import Outcome
 from wickspread.gossip.codec import Certificate
-from wickspread.gossip.instance import Address, Datagram, Exchange, Instance, Output, Sized, Suspect
+from wickspread.gossip.instance import Address, Datagram, Exchange, Instance, Output, Sized, Suspect, Word
 from wickspread.gossip.keys import Keyring, Refused, certify
 
 WALL_US = 1_796_000_000_000_000
@@ -72,6 +72,7 @@
         self.members: dict[Address, Member] = {}
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
         self.numbers = itertools.count()
+        self.words: list[tuple[str, Word]] = []  # of other subsystems: who has heard what
         self.loss = 0.0
         self.passes: Callable[[Address, Address], bool] = lambda source, target: True
         self.on_wire: list[tuple[Address, Address, bytes]] | None = None  # kept where a test wants them
@@ -130,6 +131,8 @@
                 self.exchange(member, one.address)
             elif isinstance(one, Sized):
                 member.sized = one.instances
+            elif isinstance(one, Word):
+                self.words.append((member.instance.core.name, one))
             else:
                 self.suspect(member, one)
 
--- a/wickspread/lab/gossip.py
+++ b/wickspread/lab/gossip.py
@@ -11,7 +11,7 @@
 from nacl.signing import SigningKey
 
 from wickspread.gossip import codec, files
-from wickspread.gossip.instance import Instance, Sized, Suspect
+from wickspread.gossip.instance import Instance, Sized, Suspect, Word
 from wickspread.gossip.keys import Keyring, certify
 from wickspread.gossip.transport import Transport, wall_us
 from wickspread.lab.ledger import now_us
@@ -85,7 +85,7 @@
         self.transport.close()
 
 
-def unheard(one: Suspect | Sized) -> None:
+def unheard(one: Suspect | Sized | Word) -> None:
     """What comes of it is nothing to the liar."""
 
 
--- a/wickspread/lab/nodes.py
+++ b/wickspread/lab/nodes.py
@@ -99,7 +99,7 @@
         self.other: Callable[[NodePeer, bytes], None] | None = None  # takes connections that speak HTTP/2
         self.health = "in_service"
         self.peers: set[Aborted] = set()
-        self.accepted = self.received = self.served = 0
+        self.accepted = self.received = self.served = self.asked_health = 0
         self.port = 0
         self.born_ms = 0
         self.incarnation = 0
@@ -151,6 +151,7 @@
 
     def receive(self, peer: Asker, request: Request) -> None:
         if request.target.startswith((b"/health", b"/status")):
+            self.asked_health += 1
             peer.answer(b"200 OK")
             return
         ident = request.headers.get(b"req-id", b"").decode("latin-1")
--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from wickspread.lab import invariants
 from wickspread.lab.capacity import Machine
 from wickspread.lab.checker import Bounds, Breach, Kind, check
 from wickspread.lab.clients import Crowd, Load, Manners
@@ -50,6 +51,7 @@
     extra: str = ""  # more of the sidecars' operator file
     skew: float = 0.0  # the first sidecar's share of all requests; 0 = each has the same
     probes: bool = False  # the settings allow them
+    return_s: float = 2.0  # the longest time to come back that clients may be told
     keep_nodes: bool = True  # record what nodes see; off for long measurements
 
 
@@ -71,7 +73,8 @@
         "report": {"how": "none", "names": ""}, "fees": {"cross-zone": "0.02"},
         "bounds": {"cancel": "true", "probes": str(plan.probes).lower(), "retry-after": "true",
                    "second-copies": "true", "peers": "false", "most-tries": "4",
-                   "dial-timeout": "200000", "conn-idle": "5000000", "max-retry-after": "2000000"},
+                   "dial-timeout": "200000", "conn-idle": "5000000",
+                   "max-retry-after": str(int(plan.return_s * 1e6))},
         "invariants": {"ask-within": "10000000", "cold-share": str(machine.cold_share),
                        "warm-up": str(machine.warm_up_us), "overload-factor": str(machine.multiple),
                        "fall": str(machine.fall_us)},
@@ -215,6 +218,8 @@
     def verdict(self) -> list[Breach]:
         """What the checker finds, and whatever a sidecar has confessed."""
         found = check(self.ledger, bounds(self.plan))
+        for invariant in invariants.ALL:
+            found += invariant(self.ledger)
         for one in self.sidecars:
             if any("Traceback" in line for line in one.lines):
                 found.append(Breach(1, 0, f"{one.name}: a fault in its log: {one.lines[-1]}"))
--- a/wickspread/operations/door.py
+++ b/wickspread/operations/door.py
@@ -28,7 +28,7 @@
     """The listener and those who call."""
 
     def __init__(self, calls: Mapping[str, Call]) -> None:
-        self.calls = calls
+        self.calls = dict(calls)  # subsystems add theirs
         self.callers: dict[Caller, None] = {}  # the one that came first comes first
         self.server: asyncio.Server | None = None
 
--- a/wickspread/operator/schema.py
+++ b/wickspread/operator/schema.py
@@ -79,6 +79,18 @@
         0, 100_000, "never fewer to the decisions; 0 = the settings' number")] = 0
 
 
+class Overload(Table, frozen=True):
+    """Overload handled by all sidecars as one, by what they tell each other; needs gossip."""
+
+    enabled: Annotated[bool, said("whether it is on")] = False
+    reissues_per_s: Annotated[float, number(
+        0.0, 1e6, "requests that all sidecars together may send to another node again")] = 50.0
+    probes_per_s: Annotated[float, number(0.0, 1e6, "probes of all together")] = 50.0
+    tries_per_s: Annotated[float, number(
+        0.1, 1e6, "sends of all together to each node that fails half of what it gets")] = 4.0
+    trace: Annotated[bool, said("each change of its part of the budgets is written to the log")] = False
+
+
 class Recorder(Table, frozen=True):
     """What went into the decisions and what came out, the last of it: for `replay` and `why`."""
 
@@ -98,4 +110,5 @@
     grpc: Grpc = field(default_factory=Grpc)
     membership: Membership = field(default_factory=Membership)
     gossip: Gossip = field(default_factory=Gossip)
+    overload: Overload = field(default_factory=Overload)
     recorder: Recorder = field(default_factory=Recorder)
--- /dev/null
+++ b/wickspread/overload/core.py
@@ -0,0 +1,347 @@
+"""One sidecar's part in the fleet's overload: what it counts, hears, says, and what its decisions are told.
+
+Pure: no I/O, no clock and no dice but what is handed in. Times are microseconds of the monotonic clock.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from wickspread.decisions import interface as api
+from wickspread.overload import cut
+from wickspread.overload.leases import KEPT, LEAST, TERM_US, Escrow
+from wickspread.overload.storm import EARLY_US, Promises, Rate, Storm, return_us
+from wickspread.overload.words import MOST_CLASSES, WHOLE, Lend, Loan, Need, Report, Return, Word, Work
+
+TICK_US = 250_000
+REPORT_US = 1_000_000  # between two reports of one sidecar
+REPORTS_A_SECOND = 20  # of the whole fleet; more sidecars report less often
+FRESH = 3  # intervals that a report counts
+HOLDS_US = 3_000_000  # what the decisions are told counts so long
+ROTATE_US = 30_000_000  # a number of the cut lasts so long
+EASY = 0.05  # of what is admitted, refused for want of a slot: there is more room
+GROWS = ((EASY, 2.0), (0.15, 1.4), (2.0, 1.15))  # room beyond what is served, by that share
+GROWS_COLD = 3.0  # and where nodes warm up: words are a second or two old, and their room doubles in that
+PEAK_US = 10_000_000  # in which what was served at most is forgotten to a third
+NEEDED = 1.2  # of the demand's part of the weight: for chance
+RENEW = 0.5  # of a loan's term, after which it is renewed
+MOST_AUTHORS = 5000
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the fleet may spend altogether, a second."""
+
+    reissues_per_s: float = 50.0
+    probes_per_s: float = 50.0
+    tries_per_s: float = 4.0  # at each node that fails
+
+
+@dataclass(slots=True, frozen=True)
+class Say:
+    """To all, in place of the last."""
+
+    report: Report
+
+
+@dataclass(slots=True, frozen=True)
+class Post:
+    """To one."""
+
+    to: str
+    word: Word
+
+
+@dataclass(slots=True, frozen=True)
+class Note:
+    """For the log."""
+
+    text: str
+
+
+Output = Say | Post | Note | api.Overload
+
+
+@dataclass(slots=True)
+class Heard:
+    report: Report
+    at_us: int
+
+
+class Seen:
+    """What one sidecar counts of one class."""
+
+    __slots__ = ("demand", "returns", "served", "busy")
+
+    def __init__(self, now_us: int) -> None:
+        self.demand, self.returns = Rate(now_us), Rate(now_us)
+        self.served, self.busy = Rate(now_us), Rate(now_us)
+
+
+class Member:
+    def __init__(self, name: str, index: int, instances: int, worths: Sequence[float], most_return_us: int,
+                 limits: Limits, dice: random.Random, now_us: int) -> None:
+        self.name = name
+        self.index = index
+        self.instances = max(1, instances)
+        self.worths = tuple(worths[:MOST_CLASSES])
+        self.most_return_us = most_return_us
+        self.limits = limits
+        self.dice = dice
+        self.escrow = Escrow(index, self.instances, dice, now_us)
+        self.seen = [Seen(now_us) for _ in self.worths]
+        self.tries, self.repeats = Rate(now_us), Rate(now_us)
+        self.refused_rate, self.crowded = Rate(now_us), Rate(now_us)  # all; and for want of a slot
+        self.peak, self.peak_us = 0.0, now_us  # the most that was served a second, of late
+        self.storm = Storm()
+        self.promises = Promises()
+        self.heard_of: dict[str, Heard] = {}
+        self.number, self.number_us = 0, now_us
+        self.line: cut.Line | None = None
+        self.own: Report | None = None  # our last report
+        self.cold = False  # nodes warm up
+        self.tick_us = now_us + int(TICK_US * dice.random())
+        self.report_us = self.tick_us
+        self.decided: api.Overload | None = None
+        self.counts: Counter[str] = Counter()
+
+    # From the engine
+
+    def arrived(self, kind: int, key: int, retried: bool, now_us: int) -> int:
+        """A request has come; when its client was told to come back, 0 = it was not."""
+        back_us = self.promises.when(key, now_us) if key and self.promises.by_key else 0
+        self.tries.count += 1
+        if back_us and back_us <= now_us + EARLY_US:
+            if kind < len(self.seen):
+                self.seen[kind].returns.count += 1
+        elif retried or back_us:
+            # hazard: those that are shed come again and again; counted as demand they would lower the line
+            # for all, by themselves
+            self.repeats.count += 1
+        elif kind < len(self.seen):
+            self.seen[kind].demand.count += 1
+        return back_us if self.storm.on else 0
+
+    def refused(self, key: int, after_us: int, shed: bool, now_us: int) -> None:
+        """The decisions have refused one, and told its client to stay away for so long; `shed` by the line,
+        or for want of a slot."""
+        self.refused_rate.count += 1
+        self.crowded.count += not shed
+        if key and after_us > 0:
+            self.promises.note(key, now_us + after_us)
+
+    def served(self, kind: int, elapsed_us: int) -> None:
+        """A node has answered an attempt well after so long."""
+        if kind < len(self.seen):
+            self.seen[kind].served.count += 1
+            self.seen[kind].busy.count += elapsed_us
+
+    # From the others
+
+    @property
+    def interval_us(self) -> int:
+        return max(REPORT_US, self.instances * 1_000_000 // REPORTS_A_SECOND)
+
+    def heard(self, author: str, report: Report, now_us: int) -> list[Output]:
+        if author == self.name or (author not in self.heard_of and len(self.heard_of) >= MOST_AUTHORS):
+            return []
+        self.heard_of[author] = Heard(report, now_us)
+        if report.index == self.index and author < self.name and not self.escrow.barred:
+            self.escrow.barred = True
+            return [Note(f"{author} says that it is number {self.index} as well: this one spends nothing of "
+                         "the fleet's budgets")]
+        return []
+
+    def left(self, author: str) -> None:
+        """It is held for dead. Hazard: its loans run out by themselves and no sooner, as it may live."""
+        self.heard_of.pop(author, None)
+
+    def noted(self, author: str, word: Word, now_us: int) -> list[Output]:
+        """One has said something to us alone."""
+        if isinstance(word, Need):
+            self.counts["asked"] += 1
+            return [Post(author, self.escrow.need(author, word, self.needed(now_us), now_us))]
+        if isinstance(word, Lend):
+            if not self.escrow.lent(author, word, now_us):
+                return []
+            self.counts["borrowed"] += 1
+            return self.decide(now_us, always=True)
+        if isinstance(word, Return):
+            self.escrow.back(author, word)
+        return []
+
+    # Time
+
+    @property
+    def due_us(self) -> int:
+        return self.tick_us
+
+    def tick(self, now_us: int, cold: bool = False) -> list[Output]:
+        """`cold`: some of the nodes in use warm up."""
+        if now_us < self.tick_us:
+            return []
+        self.tick_us = now_us + TICK_US
+        self.cold = cold
+        found: list[Output] = []
+        tries = self.settle(now_us)
+        fresh_us = FRESH * self.interval_us
+        for name in [name for name, one in self.heard_of.items() if now_us - one.at_us > fresh_us]:
+            del self.heard_of[name]
+        self.escrow.barred = self.escrow.barred and any(
+            one.report.index == self.index and name < self.name for name, one in self.heard_of.items())
+        self.own = self.report(now_us)
+        self.line = cut.line(self.fresh(), self.worths, self.instances)
+        if self.storm.look(tries, self.repeats.value, self.refused_rate.value,
+                           self.line is not None and self.line.storm, now_us):
+            word = "begins" if self.storm.on else "ends"
+            found.append(Note(f"a storm {word}: {self.storm.why}"))
+            self.report_us = now_us
+        self.turn(now_us)
+        found += self.trade(now_us)
+        if now_us >= self.report_us:
+            self.report_us = now_us + int(self.interval_us * (0.8 + 0.4 * self.dice.random()))
+            found.append(Say(self.report(now_us)))
+        return found + self.decide(now_us)
+
+    def settle(self, now_us: int) -> float:
+        for one in self.seen:
+            for rate in (one.demand, one.returns, one.served, one.busy):
+                rate.settle(now_us)
+        for rate in (self.tries, self.repeats, self.refused_rate, self.crowded):
+            rate.settle(now_us)
+        # hazard: words are old by a second or two; a line by what was served just now starves nodes that
+        # were, by chance or by the line, given less
+        passed_us, self.peak_us = now_us - self.peak_us, now_us
+        served = sum(one.served.value for one in self.seen)
+        self.peak = max(served, self.peak * math.exp(-passed_us / PEAK_US))
+        return self.tries.value
+
+    def fresh(self) -> dict[str, Report]:
+        found = {name: one.report for name, one in self.heard_of.items()}
+        if self.own is not None:
+            found[self.name] = self.own
+        return found
+
+    def turn(self, now_us: int) -> None:
+        """The cut's number: that of most, and a new one now and then."""
+        told = self.line.number if self.line is not None else self.number
+        if told != self.number:
+            self.number, self.number_us = told, now_us
+        elif now_us - self.number_us >= ROTATE_US:
+            self.number, self.number_us = self.number + 1, now_us
+
+    def report(self, now_us: int) -> Report:
+        work = [Work(int(one.demand.value * 1000), int(one.returns.value * 1000),
+                     int(one.served.value * 1000), int(one.busy.value)) for one in self.seen]
+        loans = [Loan(to, parts) for to, parts in self.escrow.loans(now_us).items()]
+        return Report(self.index, self.number, self.storm.on, min(WHOLE, self.escrow.weight(now_us)),
+                      self.escrow.spare(self.needed(now_us), now_us), int(self.refused_rate.value * 1000),
+                      *self.room(), self.promises.backlog(now_us), work, loans)
+
+    def room(self) -> tuple[int, bool]:
+        """What nodes could take as it seems, in thousandths of what is served; and whether no limit is seen.
+        Hazard: while nothing is served at all the nodes are away, and a line by that would shed all once they
+        are back."""
+        served = sum(one.served.value for one in self.seen)
+        if served < 1.0:
+            return 1000, True
+        crowded = self.crowded.value / (self.crowded.value + served)
+        easy = crowded < EASY and self.refused_rate.value < EASY * self.tries.value
+        grows = GROWS_COLD if self.cold else next(by for most, by in GROWS if crowded < most)
+        return int(1000 * grows * self.peak / served), easy
+
+    # Loans
+
+    def needed(self, now_us: int) -> int:
+        """Parts of the weight that our part of the fleet's demand needs."""
+        own = sum(one.demand.value for one in self.seen)
+        others = [sum(work.demand for work in one.report.classes) / 1000 for one in self.heard_of.values()]
+        total = own + sum(others)
+        if total <= 0.0:
+            return int(self.escrow.owned * KEPT)
+        heard = (len(others) + 1) / self.instances  # of a part of the fleet, its part
+        return int(min(1.0, NEEDED * own / total * min(1.0, heard)) * WHOLE)
+
+    def trade(self, now_us: int) -> list[Output]:
+        """Borrow what is missing from who has most to spare, renew what is used, give back what is not."""
+        escrow, found = self.escrow, list[Output]()
+        missing = self.needed(now_us) - escrow.weight(now_us)
+        for number, one in list(escrow.held.items()):
+            if now_us >= one.until_us:
+                continue
+            if missing <= -one.parts - LEAST:
+                lender, word = escrow.give_back(number)
+                missing += one.parts
+                found.append(Post(lender, word))
+            elif one.until_us - now_us < RENEW * TERM_US:
+                asked = escrow.ask(one.lender, one.parts, now_us, renews=number)
+                if asked is not None:
+                    found.append(Post(one.lender, asked))
+        lenders = {one.lender for one in escrow.held.values()}
+        spares = sorted(((one.report.spare, name) for name, one in self.heard_of.items()
+                         if one.report.spare >= LEAST and name not in lenders), reverse=True)
+        for spare, name in spares:
+            if missing < LEAST:
+                break
+            asked = escrow.ask(name, min(spare, missing), now_us)
+            if asked is not None:
+                missing -= asked.parts
+                found.append(Post(name, asked))
+        return found
+
+    # What the decisions are told
+
+    def decide(self, now_us: int, always: bool = False) -> list[Output]:
+        weight = self.escrow.weight(now_us) / WHOLE
+        until_us = now_us + HOLDS_US
+        # hazard: what is borrowed may end sooner than the next word to the decisions
+        ends = [one.until_us for one in self.escrow.held.values() if one.until_us > now_us]
+        until_us = min([until_us, *ends])
+        line, usual_us = self.line, self.usual_us()
+        storm = self.storm.on
+        back_us = return_us(line, usual_us, int(usual_us), self.most_return_us) if storm else 0
+        whole = [1.0] * len(self.worths)
+        kept = list(line.kept) if line is not None else whole
+        returning = list(line.returning) if line is not None else whole
+        limits = self.limits
+        told = api.Overload(
+            share=weight, kept=kept, returning=returning, number=self.number, return_us=back_us,
+            until_us=until_us,
+            reissues_per_s=limits.reissues_per_s * weight, probes_per_s=limits.probes_per_s * weight,
+            tries_per_s=limits.tries_per_s * weight)
+        self.decided = told
+        return [told]
+
+    def usual_us(self) -> float:
+        """Nodes' time for one request, as seen here."""
+        served = sum(one.served.value for one in self.seen)
+        return sum(one.busy.value for one in self.seen) / served if served >= 0.5 else 100_000.0
+
+    # For people
+
+    def described(self, now_us: int) -> dict[str, object]:
+        line = self.line
+        return {
+            "tries_per_s": round(self.tries.value, 1), "repeats_per_s": round(self.repeats.value, 1),
+            "crowded_per_s": round(self.crowded.value, 1),
+            "served_per_s": round(sum(one.served.value for one in self.seen), 1),
+            "returns_per_s": round(sum(one.returns.value for one in self.seen), 1),
+            "refused_per_s": round(self.refused_rate.value, 1),
+            "index": self.index, "instances": self.instances, "storm": self.storm.on, "why": self.storm.why,
+            "weight": self.escrow.weight(now_us), "owned": self.escrow.owned,
+            "lent": self.escrow.loans(now_us),
+            "borrowed": {one.lender: one.parts for one in self.escrow.held.values() if one.until_us > now_us},
+            "number": self.number,
+            "kept": [round(one, 3) for one in line.kept] if line is not None else None,
+            "returning": [round(one, 3) for one in line.returning] if line is not None else None,
+            "return_us": self.decided.return_us if self.decided is not None else 0,
+            "demand_us": int(line.demand_us) if line is not None else 0,
+            "room_us": int(line.room_us) if line is not None else 0,
+            "backlog": line.backlog if line is not None else 0,
+            "heard": {name: now_us - one.at_us for name, one in sorted(self.heard_of.items())},
+            "counts": dict(self.counts),
+        }
--- /dev/null
+++ b/wickspread/overload/start.py
@@ -0,0 +1,154 @@
+"""Turns the fleet's part in overload on: counts of the engine and words of the others go into the core, what
+comes of it to the decisions and the others. It decides nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+
+from wickspread.decisions import interface as api
+from wickspread.engine.engine import Engine
+from wickspread.engine.seams import Call
+from wickspread.gossip.instance import Word
+from wickspread.gossip.start import Gossiping
+from wickspread.operations.door import Door
+from wickspread.operator.schema import Overload
+from wickspread.overload import words
+from wickspread.overload.core import Limits, Member, Note, Output, Post, Say
+
+log = logging.getLogger("wickspread")
+
+COMPLAIN_S = 1.0  # between two log lines on what could not be read
+
+
+class Together:
+    """A sidecar that handles overload with the others."""
+
+    def __init__(self, told: Overload, engine: Engine, gossip: Gossiping, seed: int,
+                 door: Door | None) -> None:
+        self.engine = engine
+        self.gossip = gossip
+        self.told = told
+        settings, now_us = engine.settings, engine.clock.now_us()
+        most_us = settings.max_retry_after_us * settings.retry_after
+        # hazard: numbers of loans of a process before this one must not come again
+        dice = random.Random(f"{seed} {gossip.name} {now_us}")
+        self.member = Member(gossip.name, settings.self_index, settings.instances,
+                             [one.worth for one in settings.classes], most_us,
+                             Limits(told.reissues_per_s, told.probes_per_s, told.tries_per_s), dice, now_us)
+        self.timer: asyncio.TimerHandle | None = None
+        self.traced = ""
+        self.bad = self.bad_logged = 0
+        self.next_complaint = 0.0
+        self.warm_up_us = settings.warm_up_us
+        if door is not None:
+            door.calls["OVERLOAD"] = self.show
+
+    def start(self) -> None:
+        self.gossip.listeners[words.TOPIC] = self.hear
+        self.engine.fleet = self
+        self.tick()
+
+    def close(self) -> None:
+        self.engine.fleet = None
+        self.gossip.listeners.pop(words.TOPIC, None)
+        if self.timer is not None:
+            self.timer.cancel()
+
+    # From the engine. Hazard: on the way of every request; a fault here costs this part, never a request.
+
+    def arrived(self, call: Call) -> int:
+        try:
+            return self.member.arrived(call.class_index, call.key, call.retried, self.engine.clock.now_us())
+        except Exception:
+            self.give_up()
+            return 0
+
+    def refused(self, call: Call, after_us: int, shed: bool) -> None:
+        try:
+            self.member.refused(call.key, after_us, shed, self.engine.clock.now_us())
+        except Exception:
+            self.give_up()
+
+    def ended(self, class_index: int, outcome: api.Outcome, elapsed_us: int) -> None:
+        if outcome is api.Outcome.OK:
+            self.member.served(class_index, elapsed_us)
+
+    def give_up(self) -> None:
+        log.exception("overload: this sidecar goes on by itself")
+        self.close()
+
+    # From the others
+
+    def hear(self, told: Word) -> None:
+        now_us = self.engine.clock.now_us()
+        if told.left:
+            self.member.left(told.author)
+            return
+        try:
+            word = words.read(told.body)
+        except words.WordError as error:
+            self.complain(f"{told.author}: {error}")
+            return
+        if isinstance(word, words.Report) == told.alone:
+            self.complain(f"{told.author}: a word out of its place")
+        elif isinstance(word, words.Report):
+            self.perform(self.member.heard(told.author, word, now_us))
+        else:
+            self.perform(self.member.noted(told.author, word, now_us))
+
+    def complain(self, text: str) -> None:
+        """One line a second at most, whatever comes."""
+        self.bad += 1
+        if self.engine.loop.time() >= self.next_complaint:
+            self.next_complaint = self.engine.loop.time() + COMPLAIN_S
+            log.warning("overload: %d words not taken so far, the last of %s", self.bad, text)
+
+    # Time
+
+    def tick(self) -> None:
+        now_us = self.engine.clock.now_us()
+        try:
+            cold = any(one.started_us and now_us - one.started_us < self.warm_up_us
+                       for one in self.engine.balancer.entries.values()) if self.warm_up_us else False
+            self.perform(self.member.tick(now_us, cold))
+        except Exception:
+            self.give_up()
+            return
+        wait_us = max(0, self.member.due_us - self.engine.clock.now_us())
+        self.timer = self.engine.loop.call_later(wait_us / 1e6 + 0.001, self.tick)
+
+    def perform(self, outputs: list[Output]) -> None:
+        if self.told.trace:
+            self.trace()
+        for one in outputs:
+            if isinstance(one, Say):
+                if self.told.trace:
+                    at_us = self.engine.clock.now_us() - self.engine.clock.base_ns // 1000
+                    log.info("said overload %d %s", at_us, json.dumps(
+                        self.member.described(self.engine.clock.now_us())))
+                self.gossip.say(words.TOPIC, words.encode(one.report))
+            elif isinstance(one, Post):
+                self.gossip.note(one.to, words.TOPIC, words.encode(one.word))
+            elif isinstance(one, Note):
+                log.info("overload: %s", one.text)
+            else:
+                self.engine.tell(one)
+
+    def trace(self) -> None:
+        """What may be spent, for whoever adds it up over the fleet: [own, [[borrowed, until]]], by the clock
+        that all processes of a machine share. Hazard: written before what comes of it has left."""
+        escrow, now_us = self.member.escrow, self.engine.clock.now_us()
+        base_us = self.engine.clock.base_ns // 1000
+        held = [[one.parts, one.until_us - base_us] for one in escrow.held.values() if one.until_us > now_us]
+        text = json.dumps([escrow.own(now_us), [] if escrow.barred else held])
+        if text != self.traced:
+            self.traced = text
+            log.info("said lease %d %s", now_us - base_us, text)
+
+    # For people
+
+    def show(self, _: str) -> str:
+        return json.dumps(self.member.described(self.engine.clock.now_us())) + "\nend"
--- a/wickspread/recorder/forms.py
+++ b/wickspread/recorder/forms.py
@@ -17,7 +17,8 @@
 
 INNER: dict[tuple[str, str], Any] = {
     ("AttemptEnded", "report"): list[float], ("ProbeEnded", "report"): list[float],
-    ("Learnt", "answers_us"): list[float], ("TellPeer", "to"): int | None,
+    ("Learnt", "answers_us"): list[float], ("Overload", "kept"): list[float],
+    ("Overload", "returning"): list[float], ("TellPeer", "to"): int | None,
     ("Settings", "report_names"): list[str], ("Settings", "zones"): list[str],
     ("Settings", "kinds"): list[str],
 }
--- a/wickspread/recorder/frames.py
+++ b/wickspread/recorder/frames.py
@@ -26,7 +26,8 @@
 
 EVENTS = {one.__name__: form_of(one) for one in (
     api.UpstreamsUpdated, api.RequestArrived, api.RequestGone, api.AttemptEnded, api.StreamStarted,
-    api.ProbeEnded, api.Learnt, api.Suspected, api.FleetSized, api.TimerFired, api.PeerMessage, Named)}
+    api.ProbeEnded, api.Learnt, api.Suspected, api.FleetSized, api.Overload, api.TimerFired,
+    api.PeerMessage, Named)}
 ACTIONS = {one.__name__: form_of(one) for one in (
     api.Send, api.Refuse, api.Fail, api.Cancel, api.Probe, api.SetTimer, api.Subscribe, api.FetchList,
     api.CloseIdle, api.TellPeer, api.Log)}
