--- a/wickspread/__main__.py
+++ b/wickspread/__main__.py
@@ -12,6 +12,7 @@
 
   lab [--help]     play traffic and faults against a stand-in fleet and a real sidecar; half a minute
   check FILE       read a ledger that `lab --ledger` wrote, for the four rules
+  campaign [--help] failures drawn by seed, played to the fleet until one breaks something; made smaller
   members SOCKET   what each source says of each node, from a running sidecar (membership.socket)
   gossip COMMAND   keys and certificates of gossip, and what a running sidecar knows of the others
   config COMMAND   check or show an operator file, or print the page of all its keys
@@ -68,6 +69,11 @@
         from wickspread.lab import show
 
         return show.main(arguments)
+    if command == "campaign":
+        enter_built()
+        from wickspread.lab import campaign
+
+        return campaign.main(arguments)
     if command == "check":
         return check_file(arguments)
     if command == "members":
--- a/wickspread/overload/core.py
+++ b/wickspread/overload/core.py
@@ -152,8 +152,8 @@
         self.heard_of[author] = Heard(report, now_us)
         if report.index == self.index and author < self.name and not self.escrow.barred:
             self.escrow.barred = True
-            return [Note(f"{author} says that it is number {self.index} as well: this one spends nothing of "
-                         "the fleet's budgets")]
+            return [*self.decide(now_us), Note(f"{author} says that it is number {self.index} as well: this "
+                                               "one spends nothing of the fleet's budgets")]
         return []
 
     def left(self, author: str) -> None:
@@ -164,12 +164,14 @@
         """One has said something to us alone."""
         if isinstance(word, Need):
             self.counts["asked"] += 1
-            return [Post(author, self.escrow.need(author, word, self.needed(now_us), now_us))]
+            lend = self.escrow.need(author, word, self.needed(now_us), now_us)
+            # hazard: our own decisions have less from the moment that another one may have it
+            return [*(self.decide(now_us) if lend.parts else ()), Post(author, lend)]
         if isinstance(word, Lend):
             if not self.escrow.lent(author, word, now_us):
                 return []
             self.counts["borrowed"] += 1
-            return self.decide(now_us, always=True)
+            return self.decide(now_us)
         if isinstance(word, Return):
             self.escrow.back(author, word)
         return []
@@ -205,7 +207,7 @@
         if now_us >= self.report_us:
             self.report_us = now_us + int(self.interval_us * (0.8 + 0.4 * self.dice.random()))
             found.append(Say(self.report(now_us)))
-        return found + self.decide(now_us)
+        return self.decide(now_us) + found
 
     def settle(self, now_us: int) -> float:
         for one in self.seen:
@@ -277,9 +279,13 @@
                 lender, word = escrow.give_back(number)
                 missing += one.parts
                 found.append(Post(lender, word))
-            elif one.until_us - now_us < RENEW * TERM_US:
-                asked = escrow.ask(one.lender, one.parts, now_us, renews=number)
+                continue
+            heard = self.heard_of.get(one.lender)
+            more = min(missing, heard.report.spare if heard is not None else 0)
+            if one.until_us - now_us < RENEW * TERM_US or more >= LEAST:
+                asked = escrow.ask(one.lender, one.parts + more, now_us, renews=number)
                 if asked is not None:
+                    missing -= more
                     found.append(Post(one.lender, asked))
         lenders = {one.lender for one in escrow.held.values()}
         spares = sorted(((one.report.spare, name) for name, one in self.heard_of.items()
@@ -295,7 +301,7 @@
 
     # What the decisions are told
 
-    def decide(self, now_us: int, always: bool = False) -> list[Output]:
+    def decide(self, now_us: int) -> list[Output]:
         weight = self.escrow.weight(now_us) / WHOLE
         until_us = now_us + HOLDS_US
         # hazard: what is borrowed may end sooner than the next word to the decisions
--- a/wickspread/overload/cut.py
+++ b/wickspread/overload/cut.py
@@ -12,7 +12,7 @@
 
 AMPLE = 1.5  # of its demand is the room of who knows no limit
 STAKE = 1.25  # times its weight's part: more of a claim does not count
-ENOUGH = 0.5  # of the weight has to be heard from
+ENOUGH = 0.499  # of the weight has to be heard from; half of it, as parts are whole numbers
 MOST_STEP = 1  # that the cut's number moves at a time
 
 
--- a/wickspread/overload/leases.py
+++ b/wickspread/overload/leases.py
@@ -131,8 +131,8 @@
         if told.number in self.given or told.number in self.returned:
             return Lend(told.number, told.asked_us, 0)  # it came twice
         old = self.given.get(told.renews)
-        if old is not None and old.to != borrower:
-            old = None
+        if old is not None and (old.to != borrower or not old.out(now_us)):
+            old = None  # it has run out: a new one
         free = self.spare(needed, now_us)
         if old is not None:
             # hazard: the older grant counts until its end, as the answer to this one may be lost
