Slots of all grow only while they are used: no collapse when all nodes turn warm

Need: with all 60 upstreams of 40 sidecars back cold (emulator, all_away, 1.25 x) goodput by second from the moment they turn warm was 1046 266 105 184 333 507 of 2000. Seen: 43 slots a sidecar were open though 5 were used, as the share of cold upstreams kept sends back while quick answers and constant shortage opened slots (balance.py judge, total.follow); all 1,400 went out in one second and queues of 30 choked the nodes. Ruled out: the part in overload (the same off and on), falls (none), dials.

Change: the total is opened only where twice what is used and what trunk reservation leaves covers it (RFC 7661's reason).

--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -353,7 +353,10 @@
             # hazard: small sidecars crowd the fleet, each too seldom at one upstream to learn it; silence is
             # no sign of a crowd: it may be lost answers, and it holds its slot long enough
             floor = min(1.0, part / 4 * len(self.fleet.warm))
-            self.total.follow(load, full, needed, floor, max(1.0, self.total.window))
+            # hazard: opened by quick answers while something else kept sends back (cold upstreams do), they
+            # would all be used at once when that ends; as TCP validates its window (RFC 7661)
+            used = needed and 2 * (self.total.used + 1 + RESERVED) >= self.total.window
+            self.total.follow(load, full, used, floor, max(1.0, self.total.window))
         if outcome is not api.Outcome.NOT_SENT:
             failing = server.failing + ((0.0 if served else 1.0) - server.failing) / 16
             server.failing = failing if failing >= FORGIVEN else 0.0
--- a/wickspread/emulator/fleet.py
+++ b/wickspread/emulator/fleet.py
@@ -18,9 +18,13 @@
 from wickspread.decisions import interface as api
 from wickspread.decisions.balance import Balancer
 from wickspread.lab.capacity import Capacity, Machine
+from wickspread.overload import words
+from wickspread.overload.core import Limits, Member, Output, Post, Say
 
 START_US = 1_000_000_000
 SECOND_US = 1_000_000
+SPREAD_US = 500_000  # for each doubling of the fleet, a quarter of it, until all have heard a word
+NOTE_US = 2_000  # until one has
 ANSWER_US = 1_000  # a refusal, an error or a report, there and back
 
 
@@ -43,6 +47,7 @@
     again: int = 0  # a refused client comes back so often at most
     again_share: float = 0.6  # of those that are refused
     backoff_us: int = 90_000  # at least, doubled with each time
+    as_one: Limits | None = None  # the sidecars handle overload together, within these
 
 
 @dataclass(slots=True)
@@ -73,11 +78,13 @@
     refused: int  # how often, before this one
     first_us: int  # when it came for the first time
     attempts: int = 0
+    wish: int = 0  # the client's, the same with each try
 
 
 @dataclass(slots=True, eq=False)
 class Sidecar:
     balancer: Balancer
+    member: Member | None = None
     life: int = 0  # grows with each restart
     idle: dict[int, list[int]] = field(default_factory=lambda: defaultdict(list))  # upstream: since when
     open: Counter[int] = field(default_factory=Counter)  # connections to each upstream
@@ -109,6 +116,8 @@
     fallen: list[int] = field(default_factory=list)  # upstreams that were pushed over
     unanswered: list[int] = field(default_factory=list)  # requests past their due time
     late_sends: int = 0  # over the drain's 2 s after the sidecar was told
+    by_kind: dict[tuple[str, int], Counter[int]] = field(default_factory=lambda: defaultdict(Counter))
+    overspent: int = 0  # looks at which all could spend more than there is
 
 
 class EmulatedFleet:
@@ -133,6 +142,10 @@
         for n, share in enumerate(shares):
             self.tell_list(n, api.ListKind.CACHED, [node.entry for node in listed])
             self.arrivals(n, plan.rate * share / sum(shares))
+        if plan.as_one is not None:
+            for n in range(len(self.sidecars)):
+                self.ticks(n)
+            self.at(self.now_us + SECOND_US, self.look)
 
     # Schedule
 
@@ -197,6 +210,8 @@
             for attempt in old.out.values():
                 attempt.over = True
             self.sidecars[n] = self.new_sidecar(n, old.life + 1)
+            if self.plan.as_one is not None:
+                self.ticks(n)
             self.sidecars[n].version = old.version
             self.seen.listed_us.pop(n, None)
             self.tell_list(n, api.ListKind.CACHED, list(old.known.values()))
@@ -204,7 +219,64 @@
     def new_sidecar(self, n: int, life: int = 0) -> Sidecar:
         zones = max(1, len(self.plan.settings.zones))
         settings = replace(self.plan.settings, self_index=n, zone=n % zones)
-        return Sidecar(Balancer(settings, self.plan.seed * 100_003 + n * 101 + life, self.now_us), life)
+        member = None
+        if self.plan.as_one is not None:
+            dice = random.Random(f"{self.plan.seed} {n} {life}")
+            member = Member(f"s{n}", n, settings.instances, [one.worth for one in settings.classes],
+                            settings.max_retry_after_us, self.plan.as_one, dice, self.now_us)
+        balancer = Balancer(settings, self.plan.seed * 100_003 + n * 101 + life, self.now_us)
+        return Sidecar(balancer, member, life)
+
+    # What the sidecars say to one another of overload
+
+    def ticks(self, n: int) -> None:
+        member = self.sidecars[n].member
+        assert member is not None
+
+        def tick() -> None:
+            cold = any(one.started_us and self.now_us - one.started_us < self.plan.settings.warm_up_us
+                       for one in self.sidecars[n].known.values())
+            self.perform(n, member.tick(self.now_us, cold))
+            self.ticks(n)
+
+        self.at_sidecar(member.due_us + 1, n, tick)
+
+    def perform(self, n: int, outputs: Iterable[Output]) -> None:
+        for one in outputs:
+            if isinstance(one, Say):
+                self.spread(n, one)
+            elif isinstance(one, Post):
+                target = int(one.to[1:])
+                self.at_sidecar(self.now_us + NOTE_US, target, partial(self.posted, n, target, one))
+            elif isinstance(one, api.Overload):
+                self.handle(n, one)
+
+    def spread(self, n: int, said: Say) -> None:
+        """By rumour: after each part of so many doublings a quarter of the others have heard it."""
+        others = [other for other in range(len(self.sidecars)) if other != n]
+        self.dice.shuffle(others)
+        parts = max(1, math.ceil(math.log2(len(self.sidecars) + 1) / 2))
+        each = math.ceil(len(others) / parts)
+        for part in range(parts):
+            some = others[part * each:(part + 1) * each]
+
+            def hear(some: list[int] = some) -> None:
+                for other in some:
+                    member = self.sidecars[other].member
+                    assert member is not None
+                    self.perform(other, member.heard(f"s{n}", said.report, self.now_us))
+
+            self.at(self.now_us + (part + 1) * SPREAD_US // 2, hear)
+
+    def posted(self, source: int, target: int, post: Post) -> None:
+        member = self.sidecars[target].member
+        assert member is not None and not isinstance(post.word, words.Report)
+        self.perform(target, member.noted(f"s{source}", post.word, self.now_us))
+
+    def look(self) -> None:
+        weights = [one.member.escrow.weight(self.now_us) for one in self.sidecars if one.member is not None]
+        self.seen.overspent += sum(weights) > words.WHOLE
+        self.at(self.now_us + SECOND_US // 10, self.look)
 
     # Discovery
 
@@ -276,14 +348,19 @@
             self.seen.originals[self.second] += 1
             one = Try(self.now_us, self.dice.randrange(len(classes)), 0, self.now_us)
         else:
-            one = Try(self.now_us, refused.kind, refused.refused + 1, refused.first_us)
+            one = Try(self.now_us, refused.kind, refused.refused + 1, refused.first_us, wish=refused.wish)
         request, due_us = self.next_request, self.now_us + classes[one.kind].deadline_us
         self.next_request += 1
         self.seen.requests += 1
+        one.wish = one.wish or request
         sidecar = self.sidecars[n]
         sidecar.tries[request] = one
         self.at(due_us + 4 * self.plan.settings.tick_us, lambda: self.check(sidecar, request))
-        self.handle(n, api.RequestArrived(request, due_us, one.kind))
+        back_us = 0
+        if sidecar.member is not None:
+            back_us = sidecar.member.arrived(one.kind, one.wish, one.refused > 0, self.now_us)
+        key = one.wish if sidecar.member is not None else 0
+        self.handle(n, api.RequestArrived(request, due_us, one.kind, key=key, back_us=back_us))
 
     def check(self, sidecar: Sidecar, request: int) -> None:
         if request in sidecar.tries and sidecar in self.sidecars:
@@ -297,6 +374,8 @@
             elif isinstance(action, api.Refuse | api.Fail):
                 one = self.answer(sidecar, action.request, type(action).__name__.lower())
                 if isinstance(action, api.Refuse):
+                    if sidecar.member is not None:
+                        sidecar.member.refused(one.wish, action.retry_after_us, action.shed, self.now_us)
                     self.come_again(n, one, action.retry_after_us)
             elif isinstance(action, api.SetTimer):
                 self.at_sidecar(action.at_us, n, partial(self.handle, n, api.TimerFired(action.token)))
@@ -316,6 +395,7 @@
         one = sidecar.tries.pop(request, None)
         assert one is not None, f"request {request} is answered twice"
         self.seen.answers[self.second][how] += 1
+        self.seen.by_kind[how, one.kind][self.second] += 1
         return one
 
     def probe(self, n: int, ident: int) -> None:
@@ -410,6 +490,9 @@
             self.nodes[attempt.upstream].open -= 1
         elif outcome not in (api.Outcome.CONNECT_FAILED, api.Outcome.TIMEOUT):
             sidecar.idle[attempt.upstream].append(self.now_us)
+        if outcome is api.Outcome.OK and sidecar.member is not None and attempt.request in sidecar.tries:
+            kind = sidecar.tries[attempt.request].kind
+            sidecar.member.served(kind, self.now_us - attempt.sent_us)
         if outcome is api.Outcome.OK and attempt.request in sidecar.tries:
             one = self.answer(sidecar, attempt.request, "ok")
             if self.now_us - one.since_us <= self.plan.settings.classes[one.kind].aim_us:
--- a/wickspread/emulator/scenes.py
+++ b/wickspread/emulator/scenes.py
@@ -116,5 +116,20 @@
     return fleet.run(8)
 
 
+def all_away(told: Plan) -> Seen:
+    """Every upstream is away from second 5 to 11, and back, cold; clients come again."""
+    fleet = EmulatedFleet(replace(told, again=4, again_share=1.0))
+    fleet.run(5)
+    nodes = list(fleet.nodes.values())
+    for node in nodes:
+        node.silent = True
+    fleet.run(6)
+    for node in nodes:
+        entry = replace(node.entry, started_us=fleet.now_us)
+        fleet.start_node(entry, warm=False)
+        fleet.change(entry)
+    return fleet.run(12)
+
+
 CROWDED = {"crowded-join": crowded_join, "crowded-zone": crowded_zone}
 SCENES = {"herd": herd, "join": join, "lost-zone": lost_zone}
--- a/wickspread/lab/links.py
+++ b/wickspread/lab/links.py
@@ -159,8 +159,8 @@
             reader_there, there = await asyncio.open_connection(*self.real, local_addr=here)
             links.counts["streams"] += 1
             await asyncio.gather(self.pump(reader, there, way), self.pump(reader_there, writer, back))
-        except (OSError, Broken):
-            pass  # one side has ended it, or the way broke: the other side learns it below
+        except (OSError, Broken, asyncio.CancelledError):
+            pass  # one side has ended it, the way broke, or the play is over: the other side learns it below
         finally:
             for one in (writer, there):
                 if one is not None:
--- a/wickspread/overload/core.py
+++ b/wickspread/overload/core.py
@@ -30,6 +30,7 @@
 NEEDED = 1.2  # of the demand's part of the weight: for chance
 RENEW = 0.5  # of a loan's term, after which it is renewed
 MOST_AUTHORS = 5000
+LINE_US_EACH = 3000  # between two lines, for each sidecar heard: a line costs some 10 us for each
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,6 +103,8 @@
         self.heard_of: dict[str, Heard] = {}
         self.number, self.number_us = 0, now_us
         self.line: cut.Line | None = None
+        self.line_us = now_us  # when it is made anew
+        self.wanted = int(self.escrow.owned * KEPT)  # parts that our load needs, as last reckoned
         self.own: Report | None = None  # our last report
         self.cold = False  # nodes warm up
         self.tick_us = now_us + int(TICK_US * dice.random())
@@ -164,7 +167,7 @@
         """One has said something to us alone."""
         if isinstance(word, Need):
             self.counts["asked"] += 1
-            lend = self.escrow.need(author, word, self.needed(now_us), now_us)
+            lend = self.escrow.need(author, word, self.wanted, now_us)
             # hazard: our own decisions have less from the moment that another one may have it
             return [*(self.decide(now_us) if lend.parts else ()), Post(author, lend)]
         if isinstance(word, Lend):
@@ -195,8 +198,11 @@
             del self.heard_of[name]
         self.escrow.barred = self.escrow.barred and any(
             one.report.index == self.index and name < self.name for name, one in self.heard_of.items())
-        self.own = self.report(now_us)
-        self.line = cut.line(self.fresh(), self.worths, self.instances)
+        if now_us >= self.line_us:
+            self.line_us = now_us + len(self.heard_of) * LINE_US_EACH
+            self.wanted = self.needed()
+            self.own = self.report(now_us)
+            self.line = cut.line(self.fresh(), self.worths, self.instances)
         if self.storm.look(tries, self.repeats.value, self.refused_rate.value,
                            self.line is not None and self.line.storm, now_us):
             word = "begins" if self.storm.on else "ends"
@@ -241,7 +247,7 @@
                      int(one.served.value * 1000), int(one.busy.value)) for one in self.seen]
         loans = [Loan(to, parts) for to, parts in self.escrow.loans(now_us).items()]
         return Report(self.index, self.number, self.storm.on, min(WHOLE, self.escrow.weight(now_us)),
-                      self.escrow.spare(self.needed(now_us), now_us), int(self.refused_rate.value * 1000),
+                      self.escrow.spare(self.wanted, now_us), int(self.refused_rate.value * 1000),
                       *self.room(), self.promises.backlog(now_us), work, loans)
 
     def room(self) -> tuple[int, bool]:
@@ -258,7 +264,7 @@
 
     # Loans
 
-    def needed(self, now_us: int) -> int:
+    def needed(self) -> int:
         """Parts of the weight that our part of the fleet's demand needs."""
         own = sum(one.demand.value for one in self.seen)
         others = [sum(work.demand for work in one.report.classes) / 1000 for one in self.heard_of.values()]
@@ -271,7 +277,7 @@
     def trade(self, now_us: int) -> list[Output]:
         """Borrow what is missing from who has most to spare, renew what is used, give back what is not."""
         escrow, found = self.escrow, list[Output]()
-        missing = self.needed(now_us) - escrow.weight(now_us)
+        missing = self.wanted - escrow.weight(now_us)
         for number, one in list(escrow.held.items()):
             if now_us >= one.until_us:
                 continue
