--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -24,9 +24,10 @@
 from wickspread.lab.capacity import Machine
 from wickspread.lab.checker import REFUSED
 from wickspread.lab.clients import Manners
+from wickspread.lab.gossip import Braggart
 from wickspread.lab.invariants import overspent
 from wickspread.lab.ledger import Answered, Asked, Fell, Ledger, Started, now_us
-from wickspread.lab.scene import LOADS, Plan, Scene
+from wickspread.lab.scene import LOADS, Plan, Scene, machine_of
 from wickspread.lab.script import Fault
 
 ON = "[overload]\nenabled = true\ntrace = true\n"
@@ -72,6 +73,8 @@
                                       part("link_lossy", 2.0, 40.0, size=0.33)),
     "skewed": lambda plan: replace(plan, skew=0.67, faults=(away(6.0),)),
     "rude": lambda plan: replace(plan, manners=Manners(tries=12, honours=0.4), faults=(away(6.0),)),
+    "uneven": lambda plan: beside(replace(plan, cores=(1, 2, 3))),
+    "liar": lambda plan: beside(plan),  # see `play`: one more, certified, that tells ten times the load
     "again": lambda plan: replace(plan, seconds=36.0, faults=(
         away(6.0), Fault("crash", 16.0, 4.0, 12))),
 }
@@ -114,7 +117,7 @@
                 continue
             age = (at_us - max(born)) / machine.warm_up_us if born else 1.0
             warmth = machine.cold_share + (1.0 - machine.cold_share) * min(1.0, age)
-            can += machine.cores * warmth * 1e6 / machine.work_us
+            can += machine_of(plan, number).cores * warmth * 1e6 / machine.work_us
         found.append(can)
     return found
 
@@ -182,7 +185,14 @@
         tasks = [asyncio.create_task(scene.play())]
         if name == "burst":
             tasks.append(asyncio.create_task(burst(scene, plan)))
+        liar = None
+        if name == "liar" and scene.keys is not None:
+            ring = scene.keys.keyring("braggart", plan.sites[0])
+            liar = Braggart(ring, scene.gossip, 3, 10 * plan.rate / plan.sidecars)
+            await liar.start(scene.links, 99)
         await asyncio.gather(*tasks)
+        if liar is not None:
+            liar.close()
         cpu_s = sum(one.usage()[0] for one in scene.sidecars if one.alive) - before_s
     return figures(plan, scene, from_us, cpu_s)
 
--- a/wickspread/lab/gossip.py
+++ b/wickspread/lab/gossip.py
@@ -15,6 +15,8 @@
 from wickspread.gossip.keys import Keyring, certify
 from wickspread.gossip.transport import Transport, wall_us
 from wickspread.lab.ledger import now_us
+from wickspread.lab.links import Links, host_of
+from wickspread.overload import words
 
 LIE_S = 0.2
 
@@ -61,8 +63,11 @@
         self.said = 0
         self.task: asyncio.Task[None] | None = None
 
-    async def start(self) -> None:
-        self.instance.move(await self.transport.open(("127.0.0.1", 0)))
+    async def start(self, links: Links | None = None, number: int = 0) -> None:
+        """Behind a relay of its own, where the others are."""
+        host = "127.0.0.1" if links is None else host_of(0, number)
+        address = await self.transport.open((host, 0))
+        self.instance.move(address if links is None else await links.join(number, address))
         self.transport.start()
         self.task = asyncio.get_running_loop().create_task(self.lie())
 
@@ -85,6 +90,23 @@
         self.transport.close()
 
 
+class Braggart(Liar):
+    """Takes part as any other, and says of itself that it is sidecar `index` with so many times the load."""
+
+    def __init__(self, ring: Keyring, seed: tuple[str, int], index: int, tries: float) -> None:
+        super().__init__(ring, seed, [])
+        self.index = index
+        self.tries = tries
+
+    async def lie(self) -> None:
+        while True:
+            await asyncio.sleep(LIE_S)
+            work = [words.Work(int(self.tries * 1000), 0, 1000, 100_000) for _ in range(3)]
+            told = words.Report(self.index, 0, True, words.WHOLE, 0, 10**9, 1000, False, 10**6, work, [])
+            self.said += 1
+            self.instance.say(words.TOPIC, words.encode(told), wall_us())
+
+
 def unheard(one: Suspect | Sized | Word) -> None:
     """What comes of it is nothing to the liar."""
 
--- a/wickspread/lab/process.py
+++ b/wickspread/lab/process.py
@@ -41,6 +41,7 @@
         self.ledger = ledger
         self.env: dict[str, str] = {}  # beside what is inherited
         self.command = ["-B", "-m", "wickspread.daemon"]
+        self.door: tuple[str, int] | None = None  # where operators call it; None = nowhere
         self.lines: deque[str] = deque(maxlen=500)
         self.address = ("", 0)
         self.process: asyncio.subprocess.Process | None = None
@@ -65,6 +66,8 @@
             env["WICKSPREAD_CLOCK_FILE"] = str(self.clock)
         env |= {"PROXY_NAME": self.name, "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(self.path),
                 "PROXY_DISCOVERY": self.config["discovery"], "TMPDIR": str(self.folder)} | self.env
+        if self.door is not None:
+            env["PROXY_MGMT"] = f"{self.door[0]}:{self.door[1]}"
         self.meant = self.stopped = False
         # a session of its own: Ctrl-C is ours to pass on, once what is out has been answered
         self.process = await asyncio.create_subprocess_exec(
@@ -108,6 +111,16 @@
         resident = int((at / "statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE")
         return (int(parts[11]) + int(parts[12])) / ticks, resident, len(os.listdir(at / "fd"))
 
+    async def call(self, line: str) -> str:
+        """One line at its door, and the answer."""
+        assert self.door is not None
+        async with asyncio.timeout(START_S):
+            reader, writer = await asyncio.open_connection(*self.door)
+            writer.write(line.encode() + b"\n")
+            answer = await reader.read()
+            writer.close()
+        return answer.decode().rstrip("\n")
+
     @property
     def alive(self) -> bool:
         return self.process is not None and self.process.returncode is None
--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import tempfile
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Any
 
 from wickspread.lab import invariants
@@ -51,6 +51,7 @@
     extra: str = ""  # more of the sidecars' operator file
     skew: float = 0.0  # the first sidecar's share of all requests; 0 = each has the same
     probes: bool = False  # the settings allow them
+    cores: tuple[int, ...] = ()  # of the nodes in turn; none = the machine's
     return_s: float = 2.0  # the longest time to come back that clients may be told
     keep_nodes: bool = True  # record what nodes see; off for long measurements
 
@@ -89,13 +90,18 @@
     return Bounds(kinds, multiple=machine.multiple, fall_us=machine.fall_us, burst_us=machine.burst_us)
 
 
+def machine_of(plan: Plan, number: int) -> Machine:
+    """What that node is made of."""
+    return replace(plan.machine, cores=plan.cores[number % len(plan.cores)]) if plan.cores else plan.machine
+
+
 class Scene:
     """Everything of one plan, started; `async with` ends all of it whatever happens."""
 
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
         self.ledger = Ledger()
-        self.nodes = [Node(n, self.ledger, plan.machine, plan.seed * 1_000_003 + n,
+        self.nodes = [Node(n, self.ledger, machine_of(plan, n), plan.seed * 1_000_003 + n,
                            plan.sites[n % len(plan.sites)], n // CELL, plan.keep_nodes)
                       for n in range(plan.nodes)]
         self.sidecars: list[SidecarProcess] = []
@@ -162,6 +168,7 @@
             seeds = [f"{host}:{port}" for host, port in heard[:3]]
             for index, one in enumerate(self.sidecars):
                 one.operator += self.keys.table(one.name, self.site(index), seeds, real[index], heard[index])
+                one.door = free_address(index)
             await asyncio.gather(*[one.start() for one in self.sidecars])
             self.gossip = heard[0]
             return
--- a/wickspread/overload/core.py
+++ b/wickspread/overload/core.py
@@ -9,7 +9,7 @@
 import random
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wickspread.decisions import interface as api
 from wickspread.overload import cut
@@ -202,7 +202,9 @@
             self.line_us = now_us + len(self.heard_of) * LINE_US_EACH
             self.wanted = self.needed()
             self.own = self.report(now_us)
-            self.line = cut.line(self.fresh(), self.worths, self.instances)
+            # a line costs some CPU, and where nobody is short there is nothing to shed
+            short = self.own.refused > 0 or any(one.report.refused for one in self.heard_of.values())
+            self.line = cut.line(self.fresh(), self.worths, self.instances) if short else None
         if self.storm.look(tries, self.repeats.value, self.refused_rate.value,
                            self.line is not None and self.line.storm, now_us):
             word = "begins" if self.storm.on else "ends"
@@ -213,7 +215,12 @@
         if now_us >= self.report_us:
             self.report_us = now_us + int(self.interval_us * (0.8 + 0.4 * self.dice.random()))
             found.append(Say(self.report(now_us)))
-        return self.decide(now_us) + found
+        told = self.decided
+        decided = self.decide(now_us)
+        if told is not None and told.until_us - now_us > HOLDS_US // 2 and self.decided is not None and (
+                replace(self.decided, until_us=told.until_us) == told):
+            self.decided, decided = told, []  # it holds on as it was told
+        return decided + found
 
     def settle(self, now_us: int) -> float:
         for one in self.seen:
@@ -278,6 +285,8 @@
         """Borrow what is missing from who has most to spare, renew what is used, give back what is not."""
         escrow, found = self.escrow, list[Output]()
         missing = self.wanted - escrow.weight(now_us)
+        if missing < LEAST and not escrow.held:
+            return []
         for number, one in list(escrow.held.items()):
             if now_us >= one.until_us:
                 continue
