Consensus's pure core after Raft, and a search of every order of its events

Need: whatever an operator says is kept by one process in one folder; the base of releases and copies is a log that outlives machines and partitions (issue of agreed state, begun).

No store, transport, door or command yet; nothing imports it.

One term with a restart or a wipe is searched whole; three planted bugs are found: a vote not kept, a wiped voter that votes again, a commit of an earlier term by count.

--- /dev/null
+++ b/tests/checking/test_consensus.py
@@ -0,0 +1,71 @@
+"""The search over consensus: nothing is found in the core, and three planted bugs are, with their stories."""
+
+from __future__ import annotations
+
+from wickspread.agreement import core as consensus
+from wickspread.agreement.core import Core
+from wickspread.agreement.messages import HardState
+from wickspread.checking.consensus import SEARCHES, Bounds, run
+
+
+class Forgets(Core):
+    """Planted: a vote is not written."""
+
+    def ready(self) -> consensus.Ready:
+        ready = super().ready()
+        self.told = HardState(self.term, "")
+        return ready
+
+
+class Counts(Core):
+    """Planted: an entry of an earlier term is committed by count (5.4.2)."""
+
+    def advance(self) -> None:
+        if not self.leads:
+            return
+        has = sorted((self.log.last_index if node == self.me else self.peers[node].match
+                      for node in self.voters), reverse=True)
+        self.commit = max(self.commit, has[self.majority() - 1])
+
+
+def test_nothing_is_found_within_small_bounds_that_are_searched_whole() -> None:
+    found = run(Bounds(terms=1, proposals=0, restarts=1), 200_000)
+    assert found.whole and not found.breach, str(found)
+    found = run(Bounds(terms=1, proposals=0, restarts=0, wipes=1), 200_000)
+    assert found.whole and not found.breach, str(found)
+
+
+def test_nothing_is_found_in_the_first_states_of_larger_ones() -> None:
+    for bounds in SEARCHES.values():
+        found = run(bounds, 4_000)
+        assert not found.breach, str(found)
+
+
+def test_a_vote_that_is_not_kept_is_found() -> None:
+    found = run(Bounds(terms=1, proposals=0, restarts=1), 200_000, Forgets)
+    assert "election safety" in found.breach, str(found)
+    assert any("starts anew" in step for step in found.story)
+
+
+def test_a_wiped_voter_that_votes_again_is_found() -> None:
+    found = run(Bounds(terms=1, proposals=0, restarts=0, wipes=1, same_name=True), 200_000)
+    assert "election safety" in found.breach, str(found)
+    assert any("lost its disk" in step for step in found.story)
+
+
+def test_a_commit_of_an_earlier_term_by_count_is_found() -> None:
+    """Figure 3.7 of the thesis: begun as it begins, and searched from there."""
+    begun = ["a stands", "b hears VoteRequest of a, term 1", "a hears VoteReply of b, term 1",  # a leads: 1
+             "b stands", "c hears VoteRequest of b, term 2", "b hears VoteReply of c, term 2",  # b leads: 2
+             "a hears VoteRequest of b, term 2", "a stands", "c hears VoteRequest of a, term 3",
+             "a hears VoteReply of c, term 3", "c hears Append of a, term 3 (prev_index 1",
+             "a hears AppendReply of c, term 3 (ok False", "c hears Append of a, term 3 (prev_index 0",
+             "a hears AppendReply of c, term 3 (ok True, match 1)"]
+    bounds = Bounds(terms=4, proposals=0, restarts=0)
+    was, consensus.MOST_ENTRIES = consensus.MOST_ENTRIES, 1
+    try:
+        found = run(bounds, 60_000, Counts, begun)
+        assert "leader completeness" in found.breach, str(found)
+        assert not run(bounds, 10_000, Core, begun).breach
+    finally:
+        consensus.MOST_ENTRIES = was
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -24,6 +24,8 @@
     "grpc": {"decisions", "engine", "http1", "http2", "operator"},
     "membership": {"decisions", "engine", "grpc", "http2", "operator", "roster"},
     "gossip": {"decisions", "engine", "membership", "operator", "roster"},
+    "agreement": set(),
+    "checking": {"agreement"},
     "overload": {"decisions", "engine", "gossip", "operations", "operator"},
     "recorder": {"decisions", "engine", "operator"},
     "daemon": {"compiled", "decisions", "engine", "gossip", "grpc", "http1", "membership", "operations",
--- /dev/null
+++ b/wickspread/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Agreed state among sidecars: a small replicated log, after Raft."""
--- /dev/null
+++ b/wickspread/checking/__init__.py
@@ -0,0 +1,1 @@
+"""Every order of events of the pure cores, within stated bounds."""
--- /dev/null
+++ b/wickspread/checking/consensus.py
@@ -0,0 +1,214 @@
+"""Consensus in every order of elections, proposals, deliveries, losses, doubles, restarts and a wipe.
+
+    python -m wickspread.checking.consensus [--most STATES]
+
+The network is the set of all that was ever said: each may be delivered at any time, any number of times, or
+never, so loss, delay, order and doubles need no step of their own. A Ready is written as a whole before what
+it says is said. The first to stand for election is `a`, as all nodes are alike before.
+"""
+
+from __future__ import annotations
+
+import argparse
+import copy
+import random
+from collections.abc import Callable, Hashable, Iterator, Sequence
+from dataclasses import dataclass, replace
+from functools import partial
+
+from wickspread.agreement.core import Core, Role, Timing
+from wickspread.agreement.log import Log
+from wickspread.agreement.messages import Entry, HardState, Message, Node, Snapshot
+from wickspread.checking.search import Found, search
+
+NODES = ("a", "b", "c")
+Makes = Callable[[Node, Log, HardState, random.Random, Timing], Core]
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """How far it is looked."""
+
+    terms: int = 2
+    proposals: int = 1
+    restarts: int = 1
+    wipes: int = 0
+    same_name: bool = False  # planted: a wiped node is still the voter that it was
+    pre_vote: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class World:
+    cores: tuple[Core, ...]
+    net: frozenset[Message]
+    leaders: frozenset[tuple[int, Node]]  # who has led in which term
+    committed: tuple[Entry, ...]  # by anybody, ever
+    proposals: int = 0
+    restarts: int = 0
+    wipes: int = 0
+    broken: str = ""
+
+
+def clone(core: Core) -> Core:
+    """Its own in all that a step changes."""
+    one = copy.copy(core)
+    one.log = Log(core.log.snapshot, list(core.log.entries))
+    one.votes, one.learners, one.reads = dict(core.votes), dict(core.learners), list(core.reads)
+    one.peers = {node: copy.copy(progress) for node, progress in core.peers.items()}
+    one.out = type(core.out)()
+    return one
+
+
+def deliver(message: Message, core: Core) -> None:
+    core.step(message)
+
+
+def propose(data: bytes, core: Core) -> None:
+    core.propose(data)
+
+
+def shape(core: Core) -> Hashable:
+    """All of it that matters to what may follow."""
+    return (core.me, core.term, core.vote, core.role, core.leader, core.commit, tuple(core.log.entries),
+            tuple(sorted(core.votes.items())), core.pre,
+            tuple(sorted((node, one.next, one.match) for node, one in core.peers.items())))
+
+
+class Consensus:
+    """A model for `search`."""
+
+    def __init__(self, bounds: Bounds, makes: Makes = Core, begun: Sequence[str] = ()) -> None:
+        """`begun`: the first steps, each the first that begins so; what follows is searched."""
+        self.begun = begun
+        self.bounds = bounds
+        self.makes = makes
+        self.timing = Timing(pre_vote=bounds.pre_vote, check_quorum=False)
+
+    def new(self, me: Node, log: Log, hard: HardState) -> Core:
+        return self.makes(me, log, hard, random.Random(0), self.timing)
+
+    def first(self) -> World:
+        start = Snapshot(voters=NODES)
+        cores = tuple(self.new(node, Log(start), HardState()) for node in NODES)
+        world = World(cores, frozenset(), frozenset(), ())
+        for wanted in self.begun:
+            world = next(after for name, after in sorted(self.steps(world), key=lambda one: one[0])
+                         if name.startswith(wanted))
+        return world
+
+    def key(self, state: World) -> Hashable:
+        return (tuple(map(shape, state.cores)), state.net, state.leaders, state.committed, state.proposals,
+                state.restarts, state.wipes)
+
+    def breach(self, state: World) -> str:
+        return state.broken
+
+    def steps(self, state: World) -> Iterator[tuple[str, World]]:
+        bounds = self.bounds
+        for at, core in enumerate(state.cores):
+            if core.role is not Role.LEADER and core.term < bounds.terms and (at == 0 or state.net):
+                yield f"{core.me} stands for election", self.after(state, at, Core.campaign)
+            if core.leads and state.proposals < bounds.proposals:
+                data = b"%d" % state.proposals
+                told = replace(state, proposals=state.proposals + 1)
+                yield f"{core.me} is given a word", self.after(told, at, partial(propose, data))
+            if state.restarts < bounds.restarts and state.net:
+                fresh = self.new(core.me, Log(core.log.snapshot, list(core.log.entries)), core.told)
+                yield f"{core.me} starts anew", self.placed(
+                    replace(state, restarts=state.restarts + 1), at, fresh)
+            if state.wipes < bounds.wipes and state.net:
+                name = core.me if bounds.same_name else f"{core.me}'"
+                blank = self.new(name, Log(Snapshot(voters=NODES)), HardState())
+                yield f"{core.me} has lost its disk", self.placed(
+                    replace(state, wipes=state.wipes + 1), at, blank)
+        places = {core.me: at for at, core in enumerate(state.cores)}
+        for message in state.net:
+            if message.target in places:
+                at = places[message.target]
+                yield described(message), self.after(state, at, partial(deliver, message))
+
+    def after(self, state: World, at: int, what: Callable[[Core], object]) -> World:
+        """One node does something; what its Ready has is written, said and applied."""
+        core = clone(state.cores[at])
+        try:
+            what(core)
+        except AssertionError as error:
+            return replace(state, broken=f"{core.me}: {error}")
+        ready = core.ready()
+        net = state.net | frozenset(ready.messages)
+        leaders = state.leaders | {(core.term, core.me)} if core.leads else state.leaders
+        committed, broken = list(state.committed), ""
+        for entry in ready.committed:
+            if entry.index <= len(committed):
+                if committed[entry.index - 1] != entry:
+                    broken = (f"state machine safety: {core.me} applies {entry.data!r} of term {entry.term} "
+                              f"at {entry.index}, where {committed[entry.index - 1].data!r} of term "
+                              f"{committed[entry.index - 1].term} was applied")
+            else:
+                committed.append(entry)
+        return self.placed(replace(state, net=net, leaders=leaders, committed=tuple(committed),
+                                   broken=broken), at, core)
+
+    def placed(self, state: World, at: int, core: Core) -> World:
+        cores = (*state.cores[:at], core, *state.cores[at + 1:])
+        state = replace(state, cores=cores)
+        return state if state.broken else replace(state, broken=self.holds(state))
+
+    def holds(self, state: World) -> str:
+        """Figure 3.2 of the thesis."""
+        terms: dict[int, Node] = {}
+        for term, node in state.leaders:
+            if terms.setdefault(term, node) != node:
+                return f"election safety: {terms[term]} and {node} both lead in term {term}"
+        logs = [one.log.entries for one in state.cores]
+        for number, one in enumerate(logs):
+            for other in logs[:number]:
+                same = False
+                for mine, theirs in zip(reversed(one[:len(other)]), reversed(other[:len(one)]), strict=True):
+                    same = same or mine.term == theirs.term
+                    if same and mine != theirs:
+                        return f"log matching: {mine} and {theirs}"
+        for core in state.cores:
+            if core.leads and core.term == max(one.term for one in state.cores):
+                for entry in state.committed:
+                    if entry.term < core.term and (len(core.log.entries) < entry.index
+                                                   or core.log.entries[entry.index - 1] != entry):
+                        return f"leader completeness: {core.me} leads in term {core.term} without {entry}"
+        return ""
+
+
+def described(message: Message) -> str:
+    fields = {name: getattr(message, name) for name in ("granted", "prev_index", "commit", "ok", "match")
+              if hasattr(message, name)}
+    if hasattr(message, "entries"):
+        fields["entries"] = [(one.term, one.data.decode()) for one in message.entries]
+    text = ", ".join(f"{name} {value}" for name, value in fields.items())
+    return (f"{message.target} hears {type(message).__name__} of {message.source}, term {message.term}"
+            + (f" ({text})" if text else ""))
+
+
+SEARCHES = {
+    "one term, two words": Bounds(terms=1, proposals=2, restarts=0),
+    "one term, a word, a restart": Bounds(terms=1, proposals=1, restarts=1),
+    "one term, a word, two wipes": Bounds(terms=1, proposals=1, restarts=0, wipes=2),
+    "one term, pre-votes, a restart": Bounds(terms=1, proposals=0, restarts=1, pre_vote=True),
+    "two terms": Bounds(terms=2, proposals=0, restarts=0),
+    "two terms, a word, a restart": Bounds(terms=2, proposals=1, restarts=1),
+}
+
+
+def run(bounds: Bounds, most: int, makes: Makes = Core, begun: Sequence[str] = ()) -> Found:
+    return search(Consensus(bounds, makes, begun), most)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--most", type=int, default=200_000, help="states of each search")
+    told = parser.parse_args()
+    for name, bounds in SEARCHES.items():
+        print(f"{name}: {run(bounds, told.most)}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
