Slots at cold nodes follow how long their answers take: no dip once they are warm

Seen: 41 refused for want of a slot a second and sidecar while the line let more through; the eight slots a node bears were all used, so its answers of 400 ms were judged as a warm node's and closed all slots (balance.py judge).

Change: overload/core.py tells the decisions less than the weight while answers beside the nodes' warmth are slow (never more, so no sum moves).

--- a/tests/overload/test_core.py
+++ b/tests/overload/test_core.py
@@ -225,3 +225,24 @@
     told.members.remove(told.members[1])
     told.run(8.0)
     assert not twin.escrow.barred and isinstance(twin.decided, api.Overload) and twin.decided.share > 0.0
+
+
+def test_slots_at_cold_nodes_are_fewer_while_their_answers_queue_and_as_before_once_warm() -> None:
+    one = Member("s0", 0, 1, WORTHS, 2_000_000, Limits(), random.Random(0), 0, slow_us=200_000)
+    now_us = 0
+
+    def play(took_us: int, warmth: float, seconds: float) -> float:
+        nonlocal now_us
+        for _ in range(int(seconds * 20)):
+            now_us += 50_000
+            one.arrived(0, 0, False, now_us)
+            one.served(0, took_us)
+            one.tick(now_us, warmth)
+        assert one.decided is not None
+        return one.decided.share
+
+    assert play(100_000, 1.0, 5.0) == 1.0
+    assert play(250_000, 0.4, 5.0) == 1.0  # slow because it is cold, not for a queue
+    assert 0.5 < play(400_000, 0.9, 10.0) < 0.6
+    assert play(60_000, 0.9, 10.0) == 1.0
+    assert play(400_000, 0.9, 10.0) < 0.6 and play(400_000, 1.0, 1.0) == 1.0
--- a/wickspread/emulator/fleet.py
+++ b/wickspread/emulator/fleet.py
@@ -223,7 +223,8 @@
         if self.plan.as_one is not None:
             dice = random.Random(f"{self.plan.seed} {n} {life}")
             member = Member(f"s{n}", n, settings.instances, [one.worth for one in settings.classes],
-                            settings.max_retry_after_us, self.plan.as_one, dice, self.now_us)
+                            settings.max_retry_after_us, self.plan.as_one, dice, self.now_us,
+                            min(one.aim_us for one in settings.classes) // 2)
         balancer = Balancer(settings, self.plan.seed * 100_003 + n * 101 + life, self.now_us)
         return Sidecar(balancer, member, life)
 
@@ -234,9 +235,11 @@
         assert member is not None
 
         def tick() -> None:
-            cold = any(one.started_us and self.now_us - one.started_us < self.plan.settings.warm_up_us
-                       for one in self.sidecars[n].known.values())
-            self.perform(n, member.tick(self.now_us, cold))
+            told = self.plan.settings
+            ages = [self.now_us - one.started_us for one in self.sidecars[n].known.values() if one.started_us]
+            cold = [told.cold_share + (1.0 - told.cold_share) * age_us / told.warm_up_us for age_us in ages
+                    if age_us < told.warm_up_us]
+            self.perform(n, member.tick(self.now_us, sum(cold) / len(cold) if cold else 1.0))
             self.ticks(n)
 
         self.at_sidecar(member.due_us + 1, n, tick)
--- a/wickspread/overload/core.py
+++ b/wickspread/overload/core.py
@@ -26,6 +26,8 @@
 EASY = 0.05  # of what is admitted, refused for want of a slot: there is more room
 GROWS = ((EASY, 2.0), (0.15, 1.4), (2.0, 1.15))  # room beyond what is served, by that share
 GROWS_COLD = 3.0  # and where nodes warm up: words are a second or two old, and their room doubles in that
+FULL = 0.85  # of the slow time, where the slots at cold nodes settle, as those of warm ones do
+LEAST_PACE = 0.55
 PEAK_US = 10_000_000  # in which what was served at most is forgotten to a third
 NEEDED = 1.2  # of the demand's part of the weight: for chance
 RENEW = 0.5  # of a loan's term, after which it is renewed
@@ -85,7 +87,8 @@
 
 class Member:
     def __init__(self, name: str, index: int, instances: int, worths: Sequence[float], most_return_us: int,
-                 limits: Limits, dice: random.Random, now_us: int) -> None:
+                 limits: Limits, dice: random.Random, now_us: int, slow_us: int = 0) -> None:
+        """`slow_us`: a node's answer that takes longer, when it is warm, comes of a queue; 0 = not known."""
         self.name = name
         self.index = index
         self.instances = max(1, instances)
@@ -106,7 +109,9 @@
         self.line_us = now_us  # when it is made anew
         self.wanted = int(self.escrow.owned * KEPT)  # parts that our load needs, as last reckoned
         self.own: Report | None = None  # our last report
-        self.cold = False  # nodes warm up
+        self.warmth = 1.0  # of the nodes that warm up, in the mean; 1 = none does
+        self.slow_us = slow_us
+        self.pace = 1.0  # of its weight, that its decisions may use at cold nodes
         self.tick_us = now_us + int(TICK_US * dice.random())
         self.report_us = self.tick_us
         self.decided: api.Overload | None = None
@@ -185,12 +190,13 @@
     def due_us(self) -> int:
         return self.tick_us
 
-    def tick(self, now_us: int, cold: bool = False) -> list[Output]:
-        """`cold`: some of the nodes in use warm up."""
+    def tick(self, now_us: int, warmth: float = 1.0) -> list[Output]:
+        """`warmth`: of those nodes in use that warm up, in the mean; 1 = none does."""
         if now_us < self.tick_us:
             return []
         self.tick_us = now_us + TICK_US
-        self.cold = cold
+        self.warmth = warmth
+        self.follow_pace()
         found: list[Output] = []
         tries = self.settle(now_us)
         fresh_us = FRESH * self.interval_us
@@ -222,6 +228,18 @@
             self.decided, decided = told, []  # it holds on as it was told
         return decided + found
 
+    def follow_pace(self) -> None:
+        """Hazard: what a cold node bears in slots is more than it works on at once, the warmer the more;
+        its queue would be judged as a warm node's in the moment that it is one, and close all slots."""
+        if self.warmth >= 1.0 or not self.slow_us:
+            self.pace = 1.0
+            return
+        late = self.usual_us() * self.warmth / self.slow_us
+        if late > FULL:
+            self.pace = max(LEAST_PACE, self.pace * 0.95)
+        elif late < FULL / 2:
+            self.pace = min(1.0, self.pace * 1.05)
+
     def settle(self, now_us: int) -> float:
         for one in self.seen:
             for rate in (one.demand, one.returns, one.served, one.busy):
@@ -266,7 +284,7 @@
             return 1000, True
         crowded = self.crowded.value / (self.crowded.value + served)
         easy = crowded < EASY and self.refused_rate.value < EASY * self.tries.value
-        grows = GROWS_COLD if self.cold else next(by for most, by in GROWS if crowded < most)
+        grows = GROWS_COLD if self.warmth < 1.0 else next(by for most, by in GROWS if crowded < most)
         return int(1000 * grows * self.peak / served), easy
 
     # Loans
@@ -317,7 +335,7 @@
     # What the decisions are told
 
     def decide(self, now_us: int) -> list[Output]:
-        weight = self.escrow.weight(now_us) / WHOLE
+        weight = self.escrow.weight(now_us) / WHOLE * self.pace
         until_us = now_us + HOLDS_US
         # hazard: what is borrowed may end sooner than the next word to the decisions
         ends = [one.until_us for one in self.escrow.held.values() if one.until_us > now_us]
--- a/wickspread/overload/start.py
+++ b/wickspread/overload/start.py
@@ -37,7 +37,8 @@
         dice = random.Random(f"{seed} {gossip.name} {now_us}")
         self.member = Member(gossip.name, settings.self_index, settings.instances,
                              [one.worth for one in settings.classes], most_us,
-                             Limits(told.reissues_per_s, told.probes_per_s, told.tries_per_s), dice, now_us)
+                             Limits(told.reissues_per_s, told.probes_per_s, told.tries_per_s), dice, now_us,
+                             min(one.aim_us for one in settings.classes) // 2)
         self.timer: asyncio.TimerHandle | None = None
         self.traced = ""
         self.bad = self.bad_logged = 0
@@ -111,15 +112,23 @@
     def tick(self) -> None:
         now_us = self.engine.clock.now_us()
         try:
-            cold = any(one.started_us and now_us - one.started_us < self.warm_up_us
-                       for one in self.engine.balancer.entries.values()) if self.warm_up_us else False
-            self.perform(self.member.tick(now_us, cold))
+            self.perform(self.member.tick(now_us, self.warmth(now_us)))
         except Exception:
             self.give_up()
             return
         wait_us = max(0, self.member.due_us - self.engine.clock.now_us())
         self.timer = self.engine.loop.call_later(wait_us / 1e6 + 0.001, self.tick)
 
+    def warmth(self, now_us: int) -> float:
+        """Of the nodes that warm up, in the mean; 1 = none does."""
+        if not self.warm_up_us:
+            return 1.0
+        least = self.engine.settings.cold_share
+        ages = [now_us - one.started_us for one in self.engine.balancer.entries.values() if one.started_us]
+        cold = [least + (1.0 - least) * max(0, age_us) / self.warm_up_us for age_us in ages
+                if age_us < self.warm_up_us]
+        return sum(cold) / len(cold) if cold else 1.0
+
     def perform(self, outputs: list[Output]) -> None:
         if self.told.trace:
             self.trace()
