One place each for the ways of a link fault, a rig's play, cold nodes' warmth, a candidacy

Need: read once more, the change had written the same twice: which ways a fault of links is about (lab/breaking.py and lab/campaign.py), how a test plays a rig, the mean warmth of cold nodes (shell and emulator), the sum of what is served, the request for votes (campaign and campaign_for_real), the leeway of a client that comes back (balance.py and storm.py).

Change: one piece each, the others call it; Escrow.hush and Links.between, which nobody calls, are gone; a refusal looks its request up only where the fleet's part is on. Behaviour as before.

--- a/tests/lab/playing.py
+++ b/tests/lab/playing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from tests.sockets import LONG_S
@@ -12,6 +13,21 @@
 
 PLAN = Plan(nodes=12, rate=120, seconds=4.0, seed=3, machine=Machine(work_us=8_000))
 
+# three that gossip through relays and handle overload as one
+RIG = replace(PLAN, sidecars=3, rate=60.0, seconds=1.0, gossip=True, relayed=True,
+              extra="[overload]\nenabled = true\ntrace = true\n")
+
+
+def on_rig(plan: Plan, test: Callable[[Scene], Awaitable[None]]) -> Scene:
+    """Starts it, and leaves what is done to it to the test."""
+    async def run() -> Scene:
+        async with Scene(plan) as scene:
+            await test(scene)
+        assert not [line for one in scene.sidecars for line in one.lines if "Traceback" in line]
+        return scene
+
+    return asyncio.run(asyncio.wait_for(run(), 4 * LONG_S))
+
 
 def play(plan: Plan) -> Scene:
     """Play a plan in virtual-free time: on real sockets, within a wide bound."""
--- a/tests/lab/test_rig.py
+++ b/tests/lab/test_rig.py
@@ -5,36 +5,23 @@
 import asyncio
 import json
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from tests.lab.playing import PLAN
+from tests.lab.playing import PLAN, RIG, on_rig
 from tests.sockets import LONG_S
 from wickspread.lab import script
 from wickspread.lab.checker import absences, check
 from wickspread.lab.invariants import overspent
 from wickspread.lab.ledger import Answered, Asked, Process, Received, Said
 from wickspread.lab.links import Links, Relay, host_of
-from wickspread.lab.scene import Plan, Scene, bounds
+from wickspread.lab.scene import Scene, bounds
 from wickspread.lab.script import Fault, ScriptError
 
-RIG = replace(PLAN, sidecars=3, rate=60.0, seconds=1.0, gossip=True, relayed=True,
-              extra="[overload]\nenabled = true\ntrace = true\n")
-
-
-def on_rig(plan: Plan, test: Callable[[Scene], Awaitable[None]]) -> Scene:
-    async def run() -> Scene:
-        async with Scene(plan) as scene:
-            await test(scene)
-        assert not [line for one in scene.sidecars for line in one.lines if "Traceback" in line]
-        return scene
-
-    return asyncio.run(asyncio.wait_for(run(), 4 * LONG_S))
-
 
 async def until(holds: Callable[[], bool]) -> None:
     """Within a wide bound."""
--- a/tests/overload/test_shell.py
+++ b/tests/overload/test_shell.py
@@ -8,14 +8,14 @@
 import subprocess
 import sys
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from tests.lab.playing import PLAN
+from tests.lab.playing import RIG, on_rig
 from tests.sockets import LONG_S
 from wickspread.gossip.transport import wall_us
 from wickspread.lab.gossip import Braggart
@@ -23,18 +23,7 @@
 from wickspread.overload import words
 from wickspread.overload.words import WHOLE, Need
 
-RIG = replace(PLAN, sidecars=3, rate=90.0, seconds=2.0, gossip=True, relayed=True,
-              extra="[overload]\nenabled = true\ntrace = true\n")
-
-
-def on_rig(plan: Plan, test: Callable[[Scene], Awaitable[None]]) -> Scene:
-    async def run() -> Scene:
-        async with Scene(plan) as scene:
-            await test(scene)
-        assert not [line for one in scene.sidecars for line in one.lines if "Traceback" in line]
-        return scene
-
-    return asyncio.run(asyncio.wait_for(run(), 4 * LONG_S))
+BUSY = replace(RIG, rate=90.0, seconds=2.0)
 
 
 async def state(scene: Scene, number: int) -> dict[str, Any]:
@@ -60,7 +49,7 @@
         assert told["index"] == 0 and told["owned"] == WHOLE // 3 and not told["storm"]
         assert (await scene.sidecars[0].call("STATUS")) == "done"
 
-    on_rig(RIG, test)
+    on_rig(BUSY, test)
 
 
 def test_a_liar_and_words_of_any_form_cost_a_line_and_no_sum() -> None:
@@ -91,14 +80,14 @@
             liar.close()
         await comes(scene, 1, lambda told: told["weight"] > 0)
 
-    scene = on_rig(RIG, test)
+    scene = on_rig(BUSY, test)
     assert not scene.verdict()
 
 
 def test_two_thirds_of_the_load_at_one_of_three_and_a_kill_in_the_midst_break_nothing() -> None:
     from wickspread.lab.script import Fault
 
-    plan = replace(RIG, skew=0.67, seconds=9.0, rate=150.0, faults=(
+    plan = replace(BUSY, skew=0.67, seconds=9.0, rate=150.0, faults=(
         Fault("crash", 4.0, 2.0, 12), Fault("sidecar_kill", 6.5, 0.5, sidecars=(0,)),
         Fault("link_part", 5.0, 3.0, sidecars=(2,))))
 
--- a/wickspread/agreement/core.py
+++ b/wickspread/agreement/core.py
@@ -188,19 +188,23 @@
         """Stand for election; first it is asked whether that would help (9.6)."""
         if self.me not in self.voters:
             return
-        self.pre = self.timing.pre_vote and not transfer
-        self.role, self.leader, self.votes = Role.CANDIDATE, "", {}
+        self.role, self.leader = Role.CANDIDATE, ""
         self.be_patient()
-        if not self.pre:
+        self.stand(self.timing.pre_vote and not transfer, transfer)
+
+    def stand(self, pre: bool, transfer: bool = False) -> None:
+        """Ask for votes; `pre`: only whether there would be any."""
+        self.pre = pre
+        if not pre:
             self.term, self.vote = self.term + 1, self.me
-        self.votes[self.me] = True
+        self.votes = {self.me: True}
         if self.won():
             self.elected()
             return
-        asked = self.term + 1 if self.pre else self.term
+        asked = self.term + 1 if pre else self.term
         for node in self.voters:
             if node != self.me:
-                self.send(VoteRequest(self.me, node, asked, self.log.last_index, self.log.last_term, self.pre,
+                self.send(VoteRequest(self.me, node, asked, self.log.last_index, self.log.last_term, pre,
                                       transfer))
 
     def won(self) -> bool:
@@ -208,7 +212,7 @@
 
     def elected(self) -> None:
         if self.pre:
-            self.campaign_for_real()
+            self.stand(pre=False)
             return
         self.role, self.leader, self.elapsed, self.quorum_elapsed = Role.LEADER, self.me, 0, 0
         self.reads, self.transfer_to = [], ""
@@ -219,16 +223,6 @@
         self.add([Entry(self.term, last + 1)])
         self.broadcast()
 
-    def campaign_for_real(self) -> None:
-        self.pre = False
-        self.term, self.vote, self.votes = self.term + 1, self.me, {self.me: True}
-        if self.won():
-            self.elected()
-            return
-        for node in self.voters:
-            if node != self.me:
-                self.send(VoteRequest(self.me, node, self.term, self.log.last_index, self.log.last_term))
-
     def on_vote_request(self, asked: VoteRequest) -> None:
         content = not asked.transfer and self.leader and self.elapsed < self.timing.election and (
             self.timing.check_quorum)
--- a/wickspread/emulator/fleet.py
+++ b/wickspread/emulator/fleet.py
@@ -19,7 +19,7 @@
 from wickspread.decisions.balance import Balancer
 from wickspread.lab.capacity import Capacity, Machine
 from wickspread.overload import words
-from wickspread.overload.core import Limits, Member, Output, Post, Say
+from wickspread.overload.core import Limits, Member, Output, Post, Say, mean_warmth
 
 START_US = 1_000_000_000
 SECOND_US = 1_000_000
@@ -235,11 +235,8 @@
         assert member is not None
 
         def tick() -> None:
-            told = self.plan.settings
-            ages = [self.now_us - one.started_us for one in self.sidecars[n].known.values() if one.started_us]
-            cold = [told.cold_share + (1.0 - told.cold_share) * age_us / told.warm_up_us for age_us in ages
-                    if age_us < told.warm_up_us]
-            self.perform(n, member.tick(self.now_us, sum(cold) / len(cold) if cold else 1.0))
+            warmth = mean_warmth(self.sidecars[n].known.values(), self.plan.settings, self.now_us)
+            self.perform(n, member.tick(self.now_us, warmth))
             self.ticks(n)
 
         self.at_sidecar(member.due_us + 1, n, tick)
--- a/wickspread/engine/engine.py
+++ b/wickspread/engine/engine.py
@@ -202,9 +202,10 @@
                 self.send(action)
             case api.Refuse():
                 after = action.retry_after_us
-                entry = self.requests.get(action.request)
-                if self.fleet is not None and entry is not None and not entry.answered:
-                    self.fleet.refused(entry.call, after, action.shed)
+                if self.fleet is not None:
+                    refused = self.requests.get(action.request)
+                    if refused is not None and not refused.answered:
+                        self.fleet.refused(refused.call, after, action.shed)
                 head = b"Retry-After: %d.%06d\r\n" % divmod(after, 1_000_000) if after > 0 else b""
                 self.answer(action.request, 503, head)
             case api.Fail():
--- a/wickspread/lab/breaking.py
+++ b/wickspread/lab/breaking.py
@@ -17,6 +17,20 @@
 LINK_KINDS = ("link_part", "link_oneway", "link_bridge", "link_dead", *SIZED)
 
 
+def pairs(kind: str, numbers: list[int], count: int) -> list[tuple[int, int]]:
+    """The ways, from one to another, that a fault of links is about where so many sidecars are."""
+    others = [number for number in range(count) if number not in numbers]
+    if kind == "link_oneway":
+        return [(one, other) for one in numbers for other in others]
+    if kind == "link_bridge":
+        numbers, others = numbers[:1], numbers[-1:]
+    elif kind != "link_part":
+        others = list(range(count))
+    both = (pair for one, other in itertools.product(numbers, others) if one != other
+            for pair in ((one, other), (other, one)))
+    return list(dict.fromkeys(both))
+
+
 @dataclass(slots=True)
 class Fleet:
     """The sidecars and their links, as a script breaks them."""
@@ -63,17 +77,7 @@
     def ways(self, kind: str, numbers: list[int]) -> list[Way]:
         """Those that a fault of this kind is about."""
         assert self.links is not None
-        others = [number for number in range(len(self.sidecars)) if number not in numbers]
-        if kind == "link_part":
-            return self.links.between(numbers, others)
-        if kind == "link_oneway":
-            return [self.links.way(one, other) for one in numbers for other in others]
-        if kind == "link_bridge":
-            return self.links.between(numbers[:1], numbers[-1:])
-        found = {pair: self.links.way(*pair)
-                 for one, other in itertools.product(numbers, range(len(self.sidecars))) if one != other
-                 for pair in ((one, other), (other, one))}
-        return list(found.values())
+        return [self.links.way(*pair) for pair in pairs(kind, numbers, len(self.sidecars))]
 
     def spoil(self, kind: str, ways: list[Way], size: float, on: bool) -> None:
         for way in ways:
--- a/wickspread/lab/campaign.py
+++ b/wickspread/lab/campaign.py
@@ -21,7 +21,7 @@
 
 from wickspread.decisions import interface as api
 from wickspread.decisions.balance import Balancer
-from wickspread.lab.breaking import LINK_KINDS, SIZED
+from wickspread.lab.breaking import LINK_KINDS, SIZED, pairs
 from wickspread.lab.script import Fault, ScriptError, read, written
 from wickspread.overload import words
 from wickspread.overload.core import Limits, Member, Output, Post, Say
@@ -216,14 +216,14 @@
                 self.minds[number].stopped = True
                 self.at(int(fault.for_s * 1e6), lambda number=number: self.go_on(number))  # type: ignore[misc]
         elif fault.kind in LINK_KINDS:
-            pairs = self.pairs(fault.kind, numbers)
-            self.spoil(fault, pairs, True)
-            self.at(DEAD_US, lambda: self.give_up(pairs))
-            self.at(int(fault.for_s * 1e6), lambda: self.spoil(fault, pairs, False))
+            some = pairs(fault.kind, numbers, self.count)
+            self.spoil(fault, some, True)
+            self.at(DEAD_US, lambda: self.give_up(some))
+            self.at(int(fault.for_s * 1e6), lambda: self.spoil(fault, some, False))
 
-    def give_up(self, pairs: list[tuple[int, int]]) -> None:
+    def give_up(self, some: list[tuple[int, int]]) -> None:
         """Who has not been heard for a while is held for dead, rightly or not."""
-        for source, target in pairs:
+        for source, target in some:
             if self.cut.get((source, target), 0) and not self.minds[target].away:
                 self.minds[target].member.left(f"s{source}")
 
@@ -242,19 +242,8 @@
     def go_on(self, number: int) -> None:
         self.minds[number].stopped = False
 
-    def pairs(self, kind: str, numbers: list[int]) -> list[tuple[int, int]]:
-        others = [number for number in range(self.count) if number not in numbers]
-        if kind == "link_oneway":
-            return [(one, other) for one in numbers for other in others]
-        if kind == "link_bridge":
-            others, numbers = numbers[-1:], numbers[:1]
-        elif kind != "link_part":
-            others = list(range(self.count))
-        return [pair for one in numbers for other in others if one != other
-                for pair in ((one, other), (other, one))]
-
-    def spoil(self, fault: Fault, pairs: list[tuple[int, int]], on: bool) -> None:
-        for pair in set(pairs):
+    def spoil(self, fault: Fault, some: list[tuple[int, int]], on: bool) -> None:
+        for pair in some:
             if fault.kind in SIZED:
                 usual = fault.size or SIZED[fault.kind][1]
                 self.sized.setdefault(pair, {})[fault.kind] = usual if on else 0.0
--- a/wickspread/lab/links.py
+++ b/wickspread/lab/links.py
@@ -10,7 +10,6 @@
 import random
 import socket
 from collections import Counter
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -69,11 +68,6 @@
     def way(self, source: int, target: int) -> Way:
         return self.ways.setdefault((source, target), Way())
 
-    def between(self, some: Iterator[int] | list[int], others: list[int]) -> list[Way]:
-        """Both ways of each pair."""
-        return [self.way(*pair) for one in some for other in others if one != other
-                for pair in ((one, other), (other, one))]
-
     def close(self) -> None:
         for relay in self.relays.values():
             relay.close()
--- a/wickspread/overload/core.py
+++ b/wickspread/overload/core.py
@@ -8,13 +8,14 @@
 import math
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
 from wickspread.decisions import interface as api
+from wickspread.decisions.balance import EARLY_US
 from wickspread.overload import cut
 from wickspread.overload.leases import KEPT, LEAST, TERM_US, Escrow
-from wickspread.overload.storm import EARLY_US, Promises, Rate, Storm, return_us
+from wickspread.overload.storm import Promises, Rate, Storm, return_us
 from wickspread.overload.words import MOST_CLASSES, WHOLE, Lend, Loan, Need, Report, Return, Word, Work
 
 TICK_US = 250_000
@@ -85,6 +86,14 @@
         self.served, self.busy = Rate(now_us), Rate(now_us)
 
 
+def mean_warmth(entries: Iterable[api.Upstream], settings: api.Settings, now_us: int) -> float:
+    """Of the nodes that warm up, by the least that the rules allow them; 1 = none does."""
+    ages = [now_us - one.started_us for one in entries if one.started_us] if settings.warm_up_us else []
+    cold = [settings.cold_share + (1.0 - settings.cold_share) * max(0, age_us) / settings.warm_up_us
+            for age_us in ages if age_us < settings.warm_up_us]
+    return sum(cold) / len(cold) if cold else 1.0
+
+
 class Member:
     def __init__(self, name: str, index: int, instances: int, worths: Sequence[float], most_return_us: int,
                  limits: Limits, dice: random.Random, now_us: int, slow_us: int = 0) -> None:
@@ -240,6 +249,10 @@
         elif late < FULL / 2:
             self.pace = min(1.0, self.pace * 1.05)
 
+    @property
+    def served_per_s(self) -> float:
+        return sum(one.served.value for one in self.seen)
+
     def settle(self, now_us: int) -> float:
         for one in self.seen:
             for rate in (one.demand, one.returns, one.served, one.busy):
@@ -249,8 +262,7 @@
         # hazard: words are old by a second or two; a line by what was served just now starves nodes that
         # were, by chance or by the line, given less
         passed_us, self.peak_us = now_us - self.peak_us, now_us
-        served = sum(one.served.value for one in self.seen)
-        self.peak = max(served, self.peak * math.exp(-passed_us / PEAK_US))
+        self.peak = max(self.served_per_s, self.peak * math.exp(-passed_us / PEAK_US))
         return self.tries.value
 
     def fresh(self) -> dict[str, Report]:
@@ -279,7 +291,7 @@
         """What nodes could take as it seems, in thousandths of what is served; and whether no limit is seen.
         Hazard: while nothing is served at all the nodes are away, and a line by that would shed all once they
         are back."""
-        served = sum(one.served.value for one in self.seen)
+        served = self.served_per_s
         if served < 1.0:
             return 1000, True
         crowded = self.crowded.value / (self.crowded.value + served)
@@ -357,7 +369,7 @@
 
     def usual_us(self) -> float:
         """Nodes' time for one request, as seen here."""
-        served = sum(one.served.value for one in self.seen)
+        served = self.served_per_s
         return sum(one.busy.value for one in self.seen) / served if served >= 0.5 else 100_000.0
 
     # For people
@@ -367,7 +379,7 @@
         return {
             "tries_per_s": round(self.tries.value, 1), "repeats_per_s": round(self.repeats.value, 1),
             "crowded_per_s": round(self.crowded.value, 1),
-            "served_per_s": round(sum(one.served.value for one in self.seen), 1),
+            "served_per_s": round(self.served_per_s, 1),
             "returns_per_s": round(sum(one.returns.value for one in self.seen), 1),
             "refused_per_s": round(self.refused_rate.value, 1),
             "index": self.index, "instances": self.instances, "storm": self.storm.on, "why": self.storm.why,
--- a/wickspread/overload/leases.py
+++ b/wickspread/overload/leases.py
@@ -90,10 +90,6 @@
         kept = max(int(self.owned * KEPT), needed)
         return max(0, self.own(now_us) - kept) if len(self.given) < MOST_LOANS else 0
 
-    def hush(self, now_us: int) -> None:
-        """Another process may hold what is ours: nothing is spent for as long as it may."""
-        self.free_us = now_us + lent_us()
-
     # Borrowing
 
     def ask(self, lender: str, parts: int, now_us: int, renews: int = 0) -> Need | None:
--- a/wickspread/overload/start.py
+++ b/wickspread/overload/start.py
@@ -16,7 +16,7 @@
 from wickspread.operations.door import Door
 from wickspread.operator.schema import Overload
 from wickspread.overload import words
-from wickspread.overload.core import Limits, Member, Note, Output, Post, Say
+from wickspread.overload.core import Limits, Member, Note, Output, Post, Say, mean_warmth
 
 log = logging.getLogger("wickspread")
 
@@ -43,7 +43,6 @@
         self.traced = ""
         self.bad = self.bad_logged = 0
         self.next_complaint = 0.0
-        self.warm_up_us = settings.warm_up_us
         if door is not None:
             door.calls["OVERLOAD"] = self.show
 
@@ -112,23 +111,14 @@
     def tick(self) -> None:
         now_us = self.engine.clock.now_us()
         try:
-            self.perform(self.member.tick(now_us, self.warmth(now_us)))
+            warmth = mean_warmth(self.engine.balancer.entries.values(), self.engine.settings, now_us)
+            self.perform(self.member.tick(now_us, warmth))
         except Exception:
             self.give_up()
             return
         wait_us = max(0, self.member.due_us - self.engine.clock.now_us())
         self.timer = self.engine.loop.call_later(wait_us / 1e6 + 0.001, self.tick)
 
-    def warmth(self, now_us: int) -> float:
-        """Of the nodes that warm up, in the mean; 1 = none does."""
-        if not self.warm_up_us:
-            return 1.0
-        least = self.engine.settings.cold_share
-        ages = [now_us - one.started_us for one in self.engine.balancer.entries.values() if one.started_us]
-        cold = [least + (1.0 - least) * max(0, age_us) / self.warm_up_us for age_us in ages
-                if age_us < self.warm_up_us]
-        return sum(cold) / len(cold) if cold else 1.0
-
     def perform(self, outputs: list[Output]) -> None:
         if self.told.trace:
             self.trace()
--- a/wickspread/overload/storm.py
+++ b/wickspread/overload/storm.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from wickspread.decisions.balance import EARLY_US
 from wickspread.overload.cut import Line
 
 BEGINS = 0.2  # share of the tries that is refused for want of slots
@@ -15,7 +16,6 @@
 END_US = 3_000_000
 LEAST_TRIES = 4.0  # a second: fewer say nothing
 MOST_KEPT = 20_000  # promises that are remembered
-EARLY_US = 20_000  # a client's clock and the way may be off by so much
 KEEP_US = 5_000_000  # a promise is remembered so long after its time
 
 
