What holds an upstream out has one place: Holding, by source

Need: words for the fleet hold upstreams out as a hand at one door does; that was inside Hand, which is there only with a door. Change: Holding takes the names of each source, with the latest start they hold for; Hand puts its own there. As before otherwise. Measured: tests/operations pass (upgrades, suspensions).

--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -25,6 +25,7 @@
 from wickspread.operations.door import Door
 from wickspread.operations.hand import Hand
 from wickspread.operations.handover import Handover
+from wickspread.operations.holding import Holding
 from wickspread.operator import file as operators
 from wickspread.operator.error import OperatorError
 from wickspread.roster.discovery import Discovery
@@ -61,7 +62,7 @@
     server = Server(engine, share, Spool(spool_bytes(config.memory_mb)))
     hand, door = None, None
     if handover is not None:
-        hand = Hand(engine, directory, server, handover)
+        hand = Hand(engine, directory, server, handover, Holding(engine, directory))
     if config.door is not None and hand is not None:
         door = Door(hand.calls())
         await door.open(config.door)
--- a/wickspread/operations/hand.py
+++ b/wickspread/operations/hand.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import replace
 from typing import Protocol
 
-from wickspread.decisions import interface as api
 from wickspread.engine.engine import Engine
-from wickspread.engine.seams import Host
 from wickspread.operations.door import Call, CallError
 from wickspread.operations.handover import Handover
+from wickspread.operations.holding import ALWAYS, Holding
 from wickspread.operations.memory import Memory
 from wickspread.operations.suspended import Suspended, Unknown
 from wickspread.roster.listing import Directory
@@ -33,16 +31,17 @@
 class Hand:
     """By hand: the calls and the state behind them."""
 
-    def __init__(self, engine: Engine, directory: Directory, server: Drained, handover: Handover) -> None:
+    def __init__(self, engine: Engine, directory: Directory, server: Drained, handover: Handover,
+                 holding: Holding) -> None:
         self.engine = engine
-        self.directory = directory
+        self.holding = holding
         self.server = server
         self.handover = handover
         self.suspended = Suspended()
         self.serving = False  # clients are taken
-        self.suspended.replace(handover.read() or ())
+        holding.listed.append(self.suspended.listed)
+        self.apply(handover.read() or set())
         self.memory = Memory(engine, directory, handover)
-        engine.hold = self.hold
         self.timer = engine.loop.call_later(LOOK_S, self.look)
         self.share()
 
@@ -89,24 +88,9 @@
     # What is suspended
 
     def apply(self, names: set[str]) -> None:
-        """From now on these are held out. The decisions are told of those for which that has changed."""
-        known = self.engine.known()
-        hosts = []
-        for name in self.suspended.replace(names):
-            host = known.get(self.directory.numbers.get(name, -1))
-            if host is not None and host.told is not None:
-                hosts.append(Host(host.told, host.dial, host.dial_grpc))
-        if hosts:
-            self.engine.list_changed(api.ListKind.HELD, hosts, 0)
-
-    def hold(self, hosts: list[Host]) -> None:
-        """What a list says, on its way to the decisions: suspended upstreams drain, whatever it says."""
-        for host in hosts:
-            name = self.directory.names.get(host.entry.id, "")
-            if name:
-                self.suspended.listed(name)
-            if name in self.suspended.names and host.entry.state is api.UpstreamState.READY:
-                host.entry = replace(host.entry, state=api.UpstreamState.DRAINING)
+        """From now on these are held out."""
+        self.suspended.replace(names)
+        self.holding.put("hand", dict.fromkeys(names, ALWAYS))
 
     def look(self) -> None:
         """Another process of this sidecar may have been told more."""
