--- a/tests/gossip/test_transport.py
+++ b/tests/gossip/test_transport.py
@@ -108,8 +108,11 @@
     async def test(one: Transport, two: Transport) -> None:
         await until(lambda: knows(one, 1) and knows(two, 1) and not one.exchanges)
         held = [await asyncio.open_connection(*one.instance.address) for _ in range(sockets.MOST_EXCHANGES)]
+        for _, writer in held:
+            writer.write((100).to_bytes(sockets.HEAD, "big"))
         await until(lambda: one.exchanges == sockets.MOST_EXCHANGES)
-        reader, _ = await asyncio.open_connection(*one.instance.address)
+        reader, more = await asyncio.open_connection(*one.instance.address)
+        more.write((100).to_bytes(sockets.HEAD, "big"))
         with pytest.raises(ConnectionError):
             assert await reader.read(1) == b""
             raise ConnectionResetError  # ended without a reset
--- a/wickspread/gossip/transport.py
+++ b/wickspread/gossip/transport.py
@@ -6,7 +6,7 @@
 import contextlib
 import ipaddress
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from wickspread.engine import wall
@@ -17,6 +17,8 @@
 log = logging.getLogger("wickspread")
 
 EXCHANGE_S = 2.0  # for one exchange, whatever its other side does
+HEAD = 4  # bytes: a length, or whom it is for
+MOST_WAITING = 64  # connections that have said nothing yet
 MOST_EXCHANGES = 4  # at a time; more are turned away
 SLICE = 20  # statements that are verified in one go: a millisecond
 COMPLAIN_S = 1.0  # between two log lines
@@ -37,9 +39,12 @@
         self.due_us = 0  # when the timer fires; 0 = it is not set
         self.tasks: set[asyncio.Task[None]] = set()
         self.exchanges = 0
+        self.waiting = 0
         self.next_complaint = 0.0
         self.refused = 0  # as last logged
         self.closed = False
+        # others that are heard on the address, by a connection's first bytes
+        self.doors: dict[bytes, Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]] = {}
         self.local: Address | None = None  # calls are made from there; None = the system's choice
 
     async def open(self, bind: Address) -> Address:
@@ -69,7 +74,23 @@
     # Exchanges
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await self.exchange(reader, writer, first=False)
+        if self.waiting >= MOST_WAITING:
+            writer.transport.abort()
+            return
+        self.waiting += 1
+        try:
+            async with asyncio.timeout(EXCHANGE_S):
+                head = await reader.readexactly(HEAD)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            writer.transport.abort()
+            return
+        finally:
+            self.waiting -= 1
+        door = self.doors.get(head)
+        if door is not None:
+            await door(reader, writer)
+        else:
+            await self.exchange(reader, writer, head)
 
     async def call(self, address: Address) -> None:
         try:
@@ -78,10 +99,12 @@
                 reader, writer = await asyncio.open_connection(*address, local_addr=self.local)
         except (OSError, TimeoutError):
             return
-        await self.exchange(reader, writer, first=True)
+        await self.exchange(reader, writer, b"")
 
-    async def exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, first: bool) -> None:
-        """Each side says all that it knows. Who called speaks first, so that a stranger hears nothing."""
+    async def exchange(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, head: bytes) -> None:
+        """Each side says all that it knows. Who called speaks first, so that a stranger hears nothing.
+        `head`: the first bytes of one who has called; empty: we have."""
+        first = not head
         if self.exchanges >= MOST_EXCHANGES:
             writer.transport.abort()
             return
@@ -90,7 +113,7 @@
             async with asyncio.timeout(EXCHANGE_S):
                 if first:
                     await send(writer, self.instance.state(wall_us()))
-                data = await receive(reader)
+                data = await receive(reader, head)
                 self.instance.counts["bytes in"] += len(data)
                 told = self.instance.opened(data, self.now_us(), wall_us())
                 if not first:
@@ -164,9 +187,9 @@
     await writer.drain()
 
 
-async def receive(reader: asyncio.StreamReader) -> bytes:
-    """Raises ValueError for more than is allowed."""
-    size = int.from_bytes(await reader.readexactly(4), "big")
+async def receive(reader: asyncio.StreamReader, head: bytes = b"") -> bytes:
+    """`head`: what was read of it. Raises ValueError for more than is allowed."""
+    size = int.from_bytes(head or await reader.readexactly(HEAD), "big")
     if size > MOST_STATE:
         raise ValueError("too large")
     return await reader.readexactly(size)
