--- a/tests/checking/test_consensus.py
+++ b/tests/checking/test_consensus.py
@@ -62,10 +62,10 @@
              "a hears AppendReply of c, term 3 (ok False", "c hears Append of a, term 3 (prev_index 0",
              "a hears AppendReply of c, term 3 (ok True, match 1)"]
     bounds = Bounds(terms=4, proposals=0, restarts=0)
-    was, consensus.MOST_ENTRIES = consensus.MOST_ENTRIES, 1
+    was, consensus.MOST_FED = consensus.MOST_FED, 1
     try:
         found = run(bounds, 60_000, Counts, begun)
         assert "leader completeness" in found.breach, str(found)
         assert not run(bounds, 10_000, Core, begun).breach
     finally:
-        consensus.MOST_ENTRIES = was
+        consensus.MOST_FED = was
--- a/wickspread/__main__.py
+++ b/wickspread/__main__.py
@@ -15,6 +15,7 @@
   campaign [--help] failures drawn by seed, played to the fleet until one breaks something; made smaller
   members SOCKET   what each source says of each node, from a running sidecar (membership.socket)
   gossip COMMAND   keys and certificates of gossip, and what a running sidecar knows of the others
+  fleet COMMAND    words that hold for the whole fleet: begin, status, log, words, members, suspend, ...
   config COMMAND   check or show an operator file, or print the page of all its keys
   replay FILE      play a recording (recorder.enabled) to the decisions again, and say where they differ
   why FILE REQUEST one request's story, from a recording
@@ -84,6 +85,10 @@
         from wickspread.gossip import command as gossip
 
         return gossip.main(arguments)
+    if command == "fleet":
+        from wickspread.agreement import command as fleet
+
+        return fleet.main(arguments)
     if command == "config":
         enter_built()
         from wickspread.operator import command as config
--- a/wickspread/agreement/core.py
+++ b/wickspread/agreement/core.py
@@ -9,11 +9,12 @@
 
 import enum
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from wickspread.agreement.log import Compacted, Log
 from wickspread.agreement.messages import (
+    MOST_ENTRIES,
     Append,
     AppendReply,
     Entry,
@@ -27,7 +28,7 @@
     VoteRequest,
 )
 
-MOST_ENTRIES = 64  # in one message
+MOST_FED = MOST_ENTRIES  # of them in one message
 MOST_AHEAD = 1024  # entries that are not committed; more proposals are refused
 
 
@@ -88,7 +89,8 @@
     """A voter, or a learner while no one has taken it in."""
 
     def __init__(self, me: Node, log: Log, hard: HardState, dice: random.Random,
-                 timing: Timing = Timing()) -> None:  # noqa: B008 - a frozen record
+                 timing: Timing = Timing(), commit: int = 0) -> None:  # noqa: B008 - a frozen record
+        """`commit`: what was known to be committed when it ended; the caller has applied all up to there."""
         self.me = me
         self.log = log
         self.term, self.vote = hard.term, hard.vote
@@ -96,7 +98,7 @@
         self.timing = timing
         self.role = Role.FOLLOWER
         self.leader: Node = ""  # of this term, as far as it is known
-        self.commit = self.applied = log.snapshot.index
+        self.commit = self.applied = max(log.snapshot.index, min(commit, log.last_index))
         self.elapsed = 0  # ticks since the leader was heard, or the last heartbeat
         self.patience = 0  # ticks of this election's time
         self.votes: dict[Node, bool] = {}
@@ -109,7 +111,6 @@
         self.transfer_to: Node = ""
         self.transfer_elapsed = 0
         self.told = HardState(self.term, self.vote)  # as last written
-        self.stable = log.last_index  # entries up to there are written, or in the next Ready
         self.out = Ready()
         self.be_patient()
 
@@ -310,13 +311,29 @@
         self.send(AppendReply(self.me, told.source, self.term, ok, match, told.round))
 
     def on_install(self, told: Install) -> None:
-        snapshot = told.snapshot
+        self.restore(told.snapshot)
+        self.reply(told, True, max(told.snapshot.index, self.commit))
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """All up to there is committed, whoever tells it."""
         if snapshot.index > self.commit:
             self.log.install(snapshot)
             self.commit = self.applied = snapshot.index
             # hazard: entries that are kept behind it have to be written again behind it
             self.out.snapshot, self.out.entries = snapshot, list(self.log.entries)
-        self.reply(told, True, max(snapshot.index, self.commit))
+
+    def learned(self, entries: Sequence[Entry]) -> None:
+        """Committed ones, without gaps, from a voter: as a learner fetches them. Those that do not follow on
+        what is committed here are passed over. Raises Refused for what can't be."""
+        new = [one for one in entries if one.index > self.commit]
+        if not new or new[0].index != self.commit + 1 or self.leads:
+            return
+        if any(one.index != new[0].index + n for n, one in enumerate(new)):
+            raise Refused("entries with gaps")
+        first = self.log.add(new)
+        if first is not None:
+            self.note(self.log.between(first, self.log.last_index))
+        self.commit = max(self.commit, new[-1].index)
 
     # The leader
 
@@ -405,7 +422,7 @@
         one = self.peers[node]
         try:
             prev_term = self.log.term_at(one.next - 1)
-            entries = self.log.after(one.next - 1, MOST_ENTRIES)
+            entries = self.log.after(one.next - 1, MOST_FED)
         except Compacted:
             if one.installing != self.log.snapshot.index:
                 one.installing = self.log.snapshot.index
--- a/wickspread/agreement/log.py
+++ b/wickspread/agreement/log.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from wickspread.agreement.messages import Entry, Node, Snapshot
+from wickspread.agreement.messages import Entry, HardState, Node, Snapshot
 
 
 class Compacted(Exception):
@@ -94,3 +94,14 @@
         agrees = snapshot.index <= self.last_index and self.term_at(snapshot.index) == snapshot.term
         left = self.entries[snapshot.index - self.snapshot.index:] if agrees else []
         self.snapshot, self.entries = snapshot, left
+
+
+@dataclass(slots=True)
+class Kept:
+    """What a folder holds of one incarnation of a node."""
+
+    incarnation: str
+    hard: HardState = field(default_factory=HardState)
+    commit: int = 0
+    log: Log = field(default_factory=Log)
+    torn: int = 0  # bytes at the file's end that a crash had left and that were cut
--- /dev/null
+++ b/wickspread/agreement/start.py
@@ -0,0 +1,301 @@
+"""Turns agreed state on in a sidecar: its store on a thread of its own, its connections, its words at the
+door, and what holds to the decisions. It decides nothing, and no request waits for it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from wickspread.agreement import frames, words
+from wickspread.agreement.asking import Answered
+from wickspread.agreement.core import Refused
+from wickspread.agreement.disk import of_this_process
+from wickspread.agreement.frames import Frame
+from wickspread.agreement.log import Kept
+from wickspread.agreement.member import Effect, Limits, Line, Member, Output, Post, Tell, Write
+from wickspread.agreement.messages import Node
+from wickspread.agreement.session import MAGIC
+from wickspread.agreement.store import Damaged, Store
+from wickspread.agreement.transport import Address, Links
+from wickspread.agreement.voters import name_of
+from wickspread.engine import wall
+from wickspread.engine.engine import Engine
+from wickspread.gossip.instance import Word
+from wickspread.gossip.start import Gossiping
+from wickspread.operations.door import CallError, Door
+from wickspread.operations.holding import ALWAYS, Holding
+from wickspread.operator.error import OperatorError
+from wickspread.operator.schema import Agreement
+from wickspread.roster.listing import Directory
+
+log = logging.getLogger("wickspread")
+
+TOPIC = "agreement"
+AGAIN_S = 0.5  # after a write that failed
+LOOK_S = 1.0
+COMPLAIN_S = 1.0
+SAYS = {"SUSPEND": words.SUSPEND, "DRAIN": words.DRAIN, "RESUME": words.RESUME, "SET": words.SET,
+        "UNSET": words.UNSET}
+
+
+class Agreeing:
+    """A sidecar that takes part."""
+
+    def __init__(self, told: Agreement, engine: Engine, directory: Directory, gossip: Gossiping,
+                 seed: int, holding: Holding, door: Door | None) -> None:
+        """Raises OperatorError for a folder that can't be used."""
+        self.told = told
+        self.engine = engine
+        self.directory = directory
+        self.gossip = gossip
+        self.holding = holding
+        self.limits = Limits(told.voters, told.votes, int(told.replace_s * 1e6), told.kib_per_s * 1024.0,
+                             told.compact)
+        self.store = Store(Path(told.folder), of_this_process())
+        self.thread = ThreadPoolExecutor(1, "agreement")
+        self.failing = False  # the last write did
+        self.contexts: dict[int, asyncio.Future[Answered]] = {}
+        self.last_context = 0
+        self.addresses: dict[str, Address] = {}  # as last heard: one held for dead may be there yet
+        self.next_complaint = 0.0
+        self.closed = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.looking: asyncio.TimerHandle | None = None
+        self.again: asyncio.TimerHandle | None = None
+        try:
+            self.member = self.opened(seed)
+        except OSError as error:
+            raise OperatorError(f"agreement.folder: {error}") from error
+        clock = engine.clock
+        self.links = Links(gossip.keyring, self.member.me, clock.now_us, self.address, self.local,
+                           self.received, self.unsent, self.broken)
+        if door is not None:
+            door.calls["FLEET"] = self.call
+
+    def opened(self, seed: int) -> Member:
+        """Raises OSError."""
+        try:
+            kept = self.store.open()
+            if kept.torn:
+                log.info("agreement: %d bytes that a crash had left were cut", kept.torn)
+            return self.made(kept, seed)
+        except (Damaged, words.WordError) as error:
+            log.error("agreement: %s; it rejoins as one who has promised nothing", error)
+            return self.made(self.store.begin_again(), seed)
+
+    def made(self, kept: Kept, seed: int) -> Member:
+        now_us = self.engine.clock.now_us()
+        dice = random.Random(f"{seed} {self.gossip.name} {kept.incarnation} {now_us}")
+        certificate = self.gossip.keyring.certificate
+        return Member(certificate.name, certificate.site, kept, self.limits, dice, now_us, wall_ms())
+
+    def start(self) -> None:
+        assert self.gossip.transport is not None
+        self.gossip.listeners[TOPIC] = self.hear
+        self.gossip.transport.doors[MAGIC] = self.links.serve
+        state = self.member.state
+        log.info("agreement: %s, %s, %d upstreams held", self.member.me,
+                 f"fleet {state.fleet} up to {state.index}" if state.fleet else "of no fleet yet",
+                 len(state.held))
+        self.effect()
+        self.tick()
+        self.look()
+
+    # From the network
+
+    def address(self, node: Node) -> Address | None:
+        name = name_of(node)
+        assert self.gossip.transport is not None
+        peer = self.gossip.transport.instance.core.peers.get(name)
+        if peer is not None:
+            self.addresses[name] = peer.address
+        return self.addresses.get(name)
+
+    def local(self) -> Address | None:
+        assert self.gossip.transport is not None
+        return self.gossip.transport.local
+
+    def received(self, node: Node, frame: Frame) -> None:
+        self.step(lambda: self.member.received(node, frame, self.engine.clock.now_us()))
+
+    def unsent(self, node: Node, frame: Frame) -> None:
+        self.step(lambda: self.member.unsent(node, frame, self.engine.clock.now_us()))
+
+    def broken(self, node: Node) -> None:
+        self.step(lambda: self.member.broken(node, self.engine.clock.now_us()))
+
+    def hear(self, told: Word) -> None:
+        now_us = self.engine.clock.now_us()
+        if told.left:
+            self.step(lambda: self.member.left(told.author, now_us))
+            return
+        try:
+            here = frames.read_here(told.body)
+        except frames.FrameError as error:
+            self.complain(f"a word of {told.author} that can't be read: {error}")
+            return
+        assert self.gossip.transport is not None
+        peer = self.gossip.transport.instance.core.peers.get(told.author)
+        if peer is not None and not told.alone:
+            self.addresses[told.author] = peer.address
+            self.step(lambda: self.member.heard(told.author, peer.site, here, now_us))
+
+    def complain(self, text: str) -> None:
+        """One line a second at most, whatever comes."""
+        if self.engine.loop.time() >= self.next_complaint:
+            self.next_complaint = self.engine.loop.time() + COMPLAIN_S
+            log.warning("agreement: %s", text)
+
+    # Time
+
+    def tick(self) -> None:
+        if self.closed:
+            return
+        self.step(lambda: self.member.tick(self.engine.clock.now_us(), wall_ms()))
+        self.timer = self.engine.loop.call_later(self.member.tick_us / 1e6, self.tick)
+
+    def look(self) -> None:
+        self.links.look()
+        self.looking = self.engine.loop.call_later(LOOK_S, self.look)
+
+    # What comes of it
+
+    def step(self, does: Callable[[], list[Output]]) -> None:
+        """Hazard: a fault here costs this part, never a request; and one that has failed in the middle must
+        neither promise nor vote any more."""
+        if self.closed:
+            return
+        try:
+            self.perform(does())
+        except Exception:
+            log.exception("agreement: this sidecar takes no part any more; what holds goes on holding")
+            self.close()
+
+    def perform(self, outputs: list[Output]) -> None:
+        for one in outputs:
+            if isinstance(one, Write):
+                self.write(one)
+            elif isinstance(one, Post):
+                self.links.post(one.to, one.frame)
+            elif isinstance(one, Tell):
+                self.gossip.say(TOPIC, frames.encode(one.here))
+            elif isinstance(one, Effect):
+                self.effect()
+            elif isinstance(one, Line):
+                log.info("agreement: %s", one.text)
+            else:
+                future = self.contexts.pop(one.context, None)
+                if future is not None and not future.done():
+                    future.set_result(one)
+
+    def write(self, one: Write) -> None:
+        if not self.closed:
+            done = self.thread.submit(self.store.save, one.hard, one.commit, one.snapshot, one.entries,
+                                      one.known)
+            done.add_done_callback(
+                lambda _: self.engine.loop.call_soon_threadsafe(self.written, one, done.exception()))
+
+    def written(self, one: Write, error: BaseException | None) -> None:
+        if self.closed:
+            return
+        if error is None:
+            if self.failing:
+                self.failing = False
+                log.info("agreement: its folder can be written again")
+            self.step(lambda: self.member.stored(self.engine.clock.now_us()))
+        elif isinstance(error, OSError):
+            if not self.failing:
+                self.failing = True
+                log.error("agreement: %s; nothing is promised until it can be written", error)
+            self.again = self.engine.loop.call_later(AGAIN_S, self.write, one)
+        else:
+            log.error("agreement: this sidecar takes no part any more", exc_info=error)
+            self.close()
+
+    def effect(self) -> None:
+        held = {name: one.born_ms * 1000 + 999 if one.kind == words.DRAIN and one.born_ms else ALWAYS
+                for name, one in self.member.state.held.items()}
+        if held != self.holding.sources.get("fleet", {}):
+            self.holding.put("fleet", held)
+            log.info("agreement: held for the fleet up to word %d: %s", self.member.state.index,
+                     ", ".join(sorted(held)[:10]) or "none")
+
+    # At the door
+
+    async def call(self, line: str) -> str:
+        """`FLEET …`. Raises CallError."""
+        word, _, rest = line.partition(" ")
+        word, now_us = word.upper(), self.engine.clock.now_us()
+        if self.closed:
+            raise CallError("this sidecar takes no part any more; its log has why")
+        if word == "STATUS":
+            return shown(self.member.described(now_us))
+        if word == "LOG":
+            return shown({"age_s": self.member.described(now_us)["age_s"], "words": self.member.log()})
+        if word == "WORDS":
+            return shown({"age_s": self.member.described(now_us)["age_s"], **words.shown(self.member.state)})
+        if word == "BEGIN":
+            try:
+                self.perform(self.member.begin(now_us))
+            except Refused as error:
+                raise CallError(str(error)) from error
+            return "done"
+        if word == "READ" and rest:
+            name = rest[:words.MOST_NAME]
+            return await self.answered(lambda context: self.member.look(context, name, now_us))
+        if word not in SAYS:
+            raise CallError("expected FLEET and one of BEGIN, STATUS, LOG, WORDS, READ NAME, "
+                            f"{', '.join(SAYS)} ID NAME")
+        ident, _, name = rest.partition(" ")
+        name, _, value = name.partition(" ") if word == "SET" else (name, "", "")
+        born_ms = self.known(name) if word in ("SUSPEND", "DRAIN") else 0
+        said = words.Word(SAYS[word], ident, self.member.name, wall_ms(), name, born_ms, value)
+        return await self.answered(lambda context: self.member.say(context, said, now_us))
+
+    def known(self, name: str) -> int:
+        """Its start as it is known here, in Unix ms. Raises CallError for a name that was never listed."""
+        number = self.directory.numbers.get(name)
+        if number is None and name not in self.member.state.held:
+            raise CallError("no upstream of that name was ever listed")
+        entry = self.engine.balancer.entries.get(number) if number is not None else None
+        return entry.started_us // 1000 if entry is not None else 0
+
+    async def answered(self, says: Callable[[int], list[Output]]) -> str:
+        self.last_context += 1
+        context = self.last_context
+        future = self.contexts[context] = self.engine.loop.create_future()
+        try:
+            self.perform(says(context))
+            told = await future
+        except words.WordError as error:
+            raise CallError(str(error)) from error
+        finally:
+            self.contexts.pop(context, None)
+        text = f": {told.text}" if told.text else ""
+        return f"{told.what}{f' {told.index}' if told.index else ''}{text}"
+
+    def close(self) -> None:
+        self.closed = True
+        self.gossip.listeners.pop(TOPIC, None)
+        if self.gossip.transport is not None:
+            self.gossip.transport.doors.pop(MAGIC, None)
+        for timer in (self.timer, self.looking, self.again):
+            if timer is not None:
+                timer.cancel()
+        self.links.close()
+        self.thread.submit(self.store.close)
+        self.thread.shutdown(wait=False)
+
+
+def wall_ms() -> int:
+    return wall.now_ns() // 1_000_000
+
+
+def shown(told: dict[str, Any]) -> str:
+    return json.dumps(told, ensure_ascii=False) + "\nend"
--- /dev/null
+++ b/wickspread/agreement/words.py
@@ -0,0 +1,212 @@
+"""The words that are one for the fleet, and the state that they come to. Pure: each sidecar applies the same
+entries in the same order and comes to the same state (state machine, thesis 2.1).
+
+A word carries an id of the operator's, so that a repeat is one word. A kind of word that this version does
+not know is kept as it came, in its place, for a version that does; so is one that can't be read at all: it
+was committed, and no sidecar may come to another state for it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from wickspread.agreement.messages import MOST_DATA, MOST_SNAPSHOT, Entry
+
+SUSPEND, DRAIN, RESUME, SET, UNSET = "suspend", "drain", "resume", "set", "unset"
+KINDS = (SUSPEND, DRAIN, RESUME, SET, UNSET)
+MOST_ID, MOST_NAME, MOST_KEY, MOST_VALUE = 64, 256, 64, 512  # characters
+MOST_HELD = 2000  # upstreams held at a time
+MOST_SETTINGS = 200
+MOST_SAID = 2048  # ids that are remembered; an older one said again is a new word
+MOST_UNREAD = 256
+LATEST = 256  # words shown by `fleet log`
+
+Id = Annotated[str, Meta(min_length=1, max_length=MOST_ID)]
+Whole = Annotated[int, Meta(ge=0, le=1 << 53)]
+
+
+class Word(msgspec.Struct, array_like=True, frozen=True):
+    """What an operator says. Later versions may have more fields."""
+
+    kind: Annotated[str, Meta(max_length=32)]
+    id: Id
+    by: Annotated[str, Meta(max_length=MOST_ID)]  # the sidecar at whose door it was said
+    at_ms: Whole  # by that one's wall clock; for people alone
+    name: Annotated[str, Meta(max_length=MOST_NAME)] = ""  # an upstream, or a setting
+    born_ms: Whole = 0  # drain: of that start of it and no later one; 0 = not known, whatever the start
+    value: Annotated[str, Meta(max_length=MOST_VALUE)] = ""
+
+
+class Held(msgspec.Struct, array_like=True, frozen=True):
+    """An upstream to which nothing new is sent."""
+
+    index: Whole  # since that entry
+    kind: str
+    born_ms: Whole
+
+
+class Setting(msgspec.Struct, array_like=True, frozen=True):
+    index: Whole
+    value: str
+
+
+class Once(msgspec.Struct, array_like=True, frozen=True):
+    """A word that was said, for who says it again."""
+
+    index: Whole
+    content: bytes  # a digest of its kind, name and value
+    error: str
+
+
+class State(msgspec.Struct, array_like=True):
+    """All that the words up to `index` come to; the snapshot's form."""
+
+    fleet: str = ""  # drawn when it was begun
+    index: int = 0
+    held: dict[str, Held] = {}
+    settings: dict[str, Setting] = {}
+    said: dict[str, Once] = {}  # by id, the oldest first
+    latest: list[tuple[int, Word]] = []
+    unread: list[tuple[int, bytes]] = []
+
+
+class WordError(ValueError):
+    """It can't be said; one line."""
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What a word came to."""
+
+    index: int
+    error: str = ""
+
+
+read_word = msgspec.msgpack.Decoder(Word).decode
+read_state = msgspec.msgpack.Decoder(State).decode
+encode = msgspec.msgpack.Encoder(order=None).encode
+
+
+def encoded(word: Word) -> bytes:
+    """As an entry's data. Raises WordError."""
+    check(word)
+    data = encode(word)
+    if len(data) > MOST_DATA:
+        raise WordError("too long")
+    return data
+
+
+def check(word: Word) -> None:
+    """Raises WordError."""
+    for what, text, most in (("id", word.id, MOST_ID), ("name", word.name, MOST_NAME),
+                             ("value", word.value, MOST_VALUE), ("sidecar", word.by, MOST_ID)):
+        if len(text) > most or not text.isprintable():
+            raise WordError(f"{what}: expected at most {most} printable characters")
+    if word.kind not in KINDS:
+        raise WordError(f"expected one of {', '.join(KINDS)}")
+    if not word.id or " " in word.id:
+        raise WordError("expected an id without spaces")
+    if not word.name or (word.kind in (SET, UNSET) and len(word.name) > MOST_KEY):
+        raise WordError("expected a name")
+
+
+def decode(data: bytes) -> Word | None:
+    """None: of another version."""
+    try:
+        word = read_word(data)
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError):
+        return None
+    return word if word.kind in KINDS else None
+
+
+def content(word: Word) -> bytes:
+    """What makes two words the same; a repeat may come by another door, later, after a restart there."""
+    return hashlib.blake2b(encode([word.kind, word.name, word.value]), digest_size=16).digest()
+
+
+def restored(data: bytes) -> State:
+    """From a snapshot's data; empty: nothing was ever said. Raises WordError."""
+    if not data:
+        return State()
+    try:
+        return read_state(data)
+    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
+        raise WordError(f"a snapshot that can't be read: {' '.join(str(error).split())[:80]}") from error
+
+
+def kept(state: State) -> bytes:
+    """The snapshot's data. It is bounded: all in it is."""
+    data = encode(state)
+    assert len(data) <= MOST_SNAPSHOT
+    return data
+
+
+def begun(fleet: str) -> bytes:
+    """The first snapshot of a fleet."""
+    return kept(State(fleet=fleet, index=1))
+
+
+def apply(state: State, entry: Entry) -> Outcome:
+    """The next committed entry."""
+    assert entry.index == state.index + 1
+    state.index = entry.index
+    if entry.voters is not None or not entry.data:
+        return Outcome(entry.index)
+    word = decode(entry.data)
+    if word is None:
+        state.unread.append((entry.index, entry.data))
+        del state.unread[:-MOST_UNREAD]
+        return Outcome(entry.index, "of a kind that this version does not know")
+    before = state.said.get(word.id)
+    if before is not None:
+        if before.content != content(word):
+            return Outcome(before.index, "that id was used for another word")
+        return Outcome(before.index, before.error)
+    error = say(state, word, entry.index)
+    state.said[word.id] = Once(entry.index, content(word), error)
+    if len(state.said) > MOST_SAID:
+        del state.said[next(iter(state.said))]
+    if not error:
+        state.latest.append((entry.index, word))
+        del state.latest[:-LATEST]
+    return Outcome(entry.index, error)
+
+
+def say(state: State, word: Word, index: int) -> str:
+    """What is wrong with it; "" = it holds."""
+    if word.kind in (SUSPEND, DRAIN):
+        held = state.held.get(word.name)
+        if held is None and len(state.held) >= MOST_HELD:
+            return "too many are held"
+        if held is None or held.kind != SUSPEND:  # hazard: a drain ends by itself, a suspension must not
+            state.held[word.name] = Held(index, word.kind, word.born_ms if word.kind == DRAIN else 0)
+    elif word.kind == RESUME:
+        state.held.pop(word.name, None)
+    elif word.kind == SET:
+        if word.name not in state.settings and len(state.settings) >= MOST_SETTINGS:
+            return "too many settings"
+        state.settings[word.name] = Setting(index, word.value)
+    else:
+        state.settings.pop(word.name, None)
+    return ""
+
+
+def shown(state: State) -> dict[str, Any]:
+    """For people."""
+    return {
+        "fleet": state.fleet, "index": state.index,
+        "held": {name: {"kind": one.kind, "index": one.index, "born_ms": one.born_ms}
+                 for name, one in sorted(state.held.items())},
+        "settings": {name: {"value": one.value, "index": one.index}
+                     for name, one in sorted(state.settings.items())},
+        "unread": [index for index, _ in state.unread],
+    }
+
+
+def log(state: State) -> list[dict[str, Any]]:
+    """The latest words, oldest first."""
+    return [{"index": index, "kind": word.kind, "id": word.id, "by": word.by, "at_ms": word.at_ms,
+             "name": word.name, "value": word.value} for index, word in state.latest]
--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -61,14 +61,16 @@
     discovery.sink = engine
     server = Server(engine, share, Spool(spool_bytes(config.memory_mb)))
     hand, door = None, None
-    if handover is not None:
-        hand = Hand(engine, directory, server, handover, Holding(engine, directory))
+    holding = Holding(engine, directory) if handover is not None or operator is not None else None
+    if handover is not None and holding is not None:
+        hand = Hand(engine, directory, server, handover, holding)
     if config.door is not None and hand is not None:
         door = Door(hand.calls())
         await door.open(config.door)
     running: list[Running] = []
     if operator is not None:
-        running = await start_wanted(Context(config, operator, engine, directory, server, discovery, door))
+        running = await start_wanted(Context(config, operator, engine, directory, server, discovery, door,
+                                             holding))
     log.info("runs %s", compiled.state)
     assert discovery.sink is not None
     discovery.sink.list_changed(api.ListKind.CACHED, known, version)
--- a/wickspread/daemon/subsystems.py
+++ b/wickspread/daemon/subsystems.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from wickspread.operations.door import Door
+    from wickspread.operations.holding import Holding
     from wickspread.operator.schema import Operator
 
 
@@ -34,6 +35,7 @@
     server: Listener
     discovery: Discovery  # who tells the platform's list; its `sink` may be changed
     door: Door | None = None  # where operators call
+    holding: Holding | None = None  # upstreams that are held out whatever the list says
     parts: dict[str, Running] = field(default_factory=dict)  # that have been started, by their key
 
 
@@ -92,6 +94,20 @@
     return together
 
 
+async def start_agreement(context: Context) -> Running:
+    from wickspread.agreement.start import Agreeing
+    from wickspread.gossip.start import Gossiping
+
+    gossip = context.parts.get("gossip")
+    if not isinstance(gossip, Gossiping):
+        raise OperatorError("agreement.folder: needs gossip; gossip.bind names no address")
+    assert context.holding is not None
+    agreeing = Agreeing(context.operator.agreement, context.engine, context.directory, gossip,
+                        context.config.seed, context.holding, context.door)
+    agreeing.start()
+    return agreeing
+
+
 # In the order of their start; they end in the other one.
 ALL = (
     # hazard: before all that may tell the decisions something, or a recording would not begin at their start
@@ -101,6 +117,7 @@
               lambda told: bool(told.membership.etcd.endpoints or told.membership.socket), start_membership),
     Subsystem("gossip", "gossip", lambda told: bool(told.gossip.bind), start_gossip),
     Subsystem("overload.enabled", "gossip", lambda told: told.overload.enabled, start_overload),
+    Subsystem("agreement.folder", "gossip", lambda told: bool(told.agreement.folder), start_agreement),
 )
 
 
--- a/wickspread/lab/process.py
+++ b/wickspread/lab/process.py
@@ -20,6 +20,7 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 START_S = 20.0
 STOP_S = 6.0
+FOLDER = "@folder@"  # in an operator file: the sidecar's own
 SAID = "said "  # a line that a sidecar writes for the ledger: topic, its time, JSON
 
 
@@ -37,6 +38,7 @@
         self.path = Path(folder) / f"{name}.json"
         self.folder = Path(folder) / f"{name}.d"  # all that it may keep
         self.clock = Path(folder) / f"{name}.clock"
+        self.disk = Path(folder) / f"{name}.disk"
         self.operator = operator  # the text of its operator file
         self.ledger = ledger
         self.env: dict[str, str] = {}  # beside what is inherited
@@ -61,9 +63,10 @@
                if not name.startswith(("PYTHON", "VIRTUAL_ENV", "PROXY_", "WICKSPREAD_"))}
         if self.operator:
             path = self.path.with_suffix(".toml")
-            path.write_text(self.operator)
+            path.write_text(self.operator.replace(FOLDER, str(self.folder)))
             env["WICKSPREAD_OPERATOR"] = str(path)
             env["WICKSPREAD_CLOCK_FILE"] = str(self.clock)
+            env["WICKSPREAD_DISK_FILE"] = str(self.disk)
         env |= {"PROXY_NAME": self.name, "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(self.path),
                 "PROXY_DISCOVERY": self.config["discovery"], "TMPDIR": str(self.folder)} | self.env
         if self.door is not None:
@@ -164,11 +167,14 @@
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (0 if full else hard, hard))
             self.note("full" if full else "has room")
 
+    def spoil(self, told: str) -> None:
+        """What is wrong with its disk from now on (agreement/disk.py); "" = nothing."""
+        replaced(self.disk, told)
+        self.note(f"disk: {told or 'well'}")
+
     def step(self, seconds: float) -> None:
         """Its wall clock is off by so much from now on."""
-        part = self.clock.with_suffix(".part")
-        part.write_text(str(int(seconds * 1e6)))
-        part.replace(self.clock)
+        replaced(self.clock, str(int(seconds * 1e6)))
         self.note(f"clock off by {seconds:g} s")
 
     async def stop(self) -> int | None:
@@ -192,3 +198,10 @@
         if self.reader is not None:
             await self.reader
         return process.returncode
+
+
+def replaced(path: Path, text: str) -> None:
+    """Whoever reads it meanwhile sees the old one or the new one."""
+    part = path.with_name(path.name + ".part")
+    part.write_text(text)
+    part.replace(path)
--- a/wickspread/operator/schema.py
+++ b/wickspread/operator/schema.py
@@ -91,6 +91,19 @@
     trace: Annotated[bool, said("each change of its part of the budgets is written to the log")] = False
 
 
+class Agreement(Table, frozen=True):
+    """Words that are one for the fleet and are not lost with a machine; needs gossip. Off where no folder is
+    named."""
+
+    folder: Annotated[Text, said("of this sidecar alone, on a disk that lasts: what it has promised")] = ""
+    voters: Annotated[Literal[1, 3, 5], said("sidecars that decide together; the others learn")] = 3
+    votes: Annotated[bool, said("whether this one may be one of them")] = True
+    replace_s: Annotated[float, number(
+        2.0, 86_400.0, "a voter that is away for so long is replaced")] = 60.0
+    kib_per_s: Annotated[int, number(8, 1_000_000, "to all who fetch what they lack")] = 256
+    compact: Annotated[int, number(16, 100_000, "words in the log, then they become a snapshot")] = 1024
+
+
 class Recorder(Table, frozen=True):
     """What went into the decisions and what came out, the last of it: for `replay` and `why`."""
 
@@ -111,4 +124,5 @@
     membership: Membership = field(default_factory=Membership)
     gossip: Gossip = field(default_factory=Gossip)
     overload: Overload = field(default_factory=Overload)
+    agreement: Agreement = field(default_factory=Agreement)
     recorder: Recorder = field(default_factory=Recorder)
