Fleets that agree checked whole, in virtual time, by what operators are told

Change: a world of the sidecars' pure parts with broken networks, disks and processes; histories judged for linearizability.

--- a/tests/agreement/test_core.py
+++ b/tests/agreement/test_core.py
@@ -342,3 +342,20 @@
     assert fleet.committed[index].data == b"last", f"seed {seed}"
     for node in leader.voters:
         assert fleet.applied[node][-1:] == [b"last"], f"seed {seed}: {node}"
+
+
+def test_what_was_fetched_of_a_later_term_is_not_cut_by_a_leader_whose_time_is_over() -> None:
+    """Found by a campaign: a node in term 2 fetched committed entries of term 3; the leader of term 2, cut
+    off from the others, then sent it one of its own for the same place."""
+    core = Core("a", Log(Snapshot(1, 0, ("a", "b", "c"))), HardState(2, ""), random.Random(1))
+    core.step(Append("b", "a", 2, 1, 0, (Entry(2, 2, b"two"),), 2))
+    core.ready()
+    core.learned([Entry(3, 3, b"of term three")])
+    assert core.term == 3 and core.commit == 3
+    core.step(Append("b", "a", 2, 2, 2, (Entry(2, 3, b"never committed"),), 2))
+    assert core.log.last_term == 3
+    assert core.ready().messages[-1] == AppendReply("a", "b", 3, False, 0)
+    core.restore(Snapshot(9, 5, ("a", "b", "c"), b"state"))
+    assert core.term == 5 and core.commit == 9
+    with pytest.raises(Refused):
+        core.learned([Entry(5, 10), Entry(5, 12)])
--- /dev/null
+++ b/tests/checking/test_fleets.py
@@ -0,0 +1,87 @@
+"""Whole fleets in virtual time: what operators are told holds, and planted bugs are found."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from wickspread.agreement import words
+from wickspread.agreement.frames import Answer, Ask
+from wickspread.agreement.member import Member
+from wickspread.checking.fleets import World
+from wickspread.checking.history import Logged, Said, judge
+
+SEEDS = 60  # runs in which each bug has to be found
+
+
+def play(seed: int, makes: Callable[..., Member] = Member) -> list[str]:
+    return World(seed, 5 + seed % 4, 3 + 2 * (seed % 2), makes).play()
+
+
+@pytest.mark.parametrize("seed", range(1, 21))
+def test_failures_of_all_kinds_break_no_promise(seed: int) -> None:
+    assert not play(seed), f"python -m wickspread.checking.fleets --seed {seed} --runs 1"
+
+
+class Hasty(Member):
+    """It says that a word is done once it is proposed."""
+
+    def asked(self, node: str, ask: Ask) -> None:
+        super().asked(node, ask)
+        for index, one in list(self.waiting.items()):
+            for who, number in one.who:
+                self.answer(who, Answer(number, "done", index, "", self.me))
+            one.who.clear()
+
+
+class Stale(Member):
+    """It answers a look from what it has, without asking whether it leads yet."""
+
+    def asked(self, node: str, ask: Ask) -> None:
+        if ask.word or not self.core.leads:
+            super().asked(node, ask)
+        else:
+            self.reads += 1
+            self.reading[self.reads] = node, ask
+            self.core.out.reads.append((self.reads, self.core.commit))
+
+
+@pytest.mark.parametrize("makes", [Hasty, Stale])
+def test_planted_bugs_are_found(makes: Callable[..., Member]) -> None:
+    assert any(play(seed, makes) for seed in range(1, SEEDS))
+
+
+def test_a_repeat_that_takes_effect_again_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    apply = words.apply
+
+    def forgets(state: words.State, entry: Any) -> words.Outcome:
+        state.said.clear()
+        return apply(state, entry)
+
+    monkeypatch.setattr(words, "apply", forgets)
+    assert any("took effect twice" in line for seed in range(1, SEEDS) for line in play(seed))
+
+
+@pytest.mark.parametrize(("history", "log", "line"), [
+    ([Said(1, 2, "done", 3, "a", "suspend", "n")], {}, "a was done at 3, where there is None"),
+    ([Said(1, 2, "done", 3, "a", "suspend", "n"), Said(5, 6, "done", 2, "b", "resume", "n")],
+     {3: Logged("a", "suspend", "n"), 2: Logged("b", "resume", "n")}, "b at 2 was called after a at 3"),
+    ([Said(1, 2, "no quorum", 0, "a", "suspend", "n")], {3: Logged("a", "suspend", "n")}, "is in the log"),
+    ([Said(1, 2, "done", 3, "a", "suspend", "n"), Said(5, 6, "done", 2, "", "look", "n", "")],
+     {3: Logged("a", "suspend", "n")}, "a look at 2 was called after"),
+    ([Said(5, 6, "done", 4, "", "look", "n", "")], {3: Logged("a", "suspend", "n")}, "told ''; it was"),
+    ([], {3: Logged("a", "suspend", "n"), 4: Logged("a", "suspend", "n")}, "took effect twice"),
+])
+def test_a_history_that_can_not_be_is_told(history: list[Said], log: dict[int, Logged], line: str) -> None:
+    assert any(line in found for found in judge(history, log))
+
+
+def test_a_history_that_can_be_is_none() -> None:
+    """Answers that cross, a repeat that is told the first one's index, an unknown one that came about."""
+    history = [Said(1, 9, "done", 4, "a", "suspend", "n"), Said(2, 3, "done", 2, "b", "drain", "m"),
+               Said(20, 21, "done", 2, "b", "drain", "m"), Said(1, 0, "", 0, "c", "resume", "n"),
+               Said(10, 12, "unknown", 0, "d", "resume", "n"), Said(13, 14, "done", 5, "", "look", "n", "")]
+    assert not judge(history, {2: Logged("b", "drain", "m"), 4: Logged("a", "suspend", "n"),
+                               5: Logged("d", "resume", "n")})
--- a/wickspread/agreement/core.py
+++ b/wickspread/agreement/core.py
@@ -317,6 +317,7 @@
     def restore(self, snapshot: Snapshot) -> None:
         """All up to there is committed, whoever tells it."""
         if snapshot.index > self.commit:
+            self.reach(snapshot.term)
             self.log.install(snapshot)
             self.commit = self.applied = snapshot.index
             # hazard: entries that are kept behind it have to be written again behind it
@@ -330,11 +331,18 @@
             return
         if any(one.index != new[0].index + n for n, one in enumerate(new)):
             raise Refused("entries with gaps")
+        self.reach(new[-1].term)
         first = self.log.add(new)
         if first is not None:
             self.note(self.log.between(first, self.log.last_index))
         self.commit = max(self.commit, new[-1].index)
 
+    def reach(self, term: int) -> None:
+        """Hazard: a log never ends in a later term than the node's own, or a leader whose time is over could
+        cut what is committed."""
+        if term > self.term:
+            self.follow(term, "")
+
     # The leader
 
     def add(self, entries: list[Entry]) -> None:
--- a/wickspread/agreement/member.py
+++ b/wickspread/agreement/member.py
@@ -49,11 +49,13 @@
 COMPACT = 1024  # entries, after which they become a snapshot
 MOST_WAITING = 256  # messages while the disk is slow, and words of one term that wait for their commit
 NEAR = 64  # entries; who is no further behind has the log
+STALL_US = 1_000_000  # between two ticks: we have been away, not the others
 CHANGE_US = 500_000  # between two looks at who should vote
 SAY_VOTER_US = 300_000  # between two words by gossip
 SAY_LEARNER_US = 2_000_000
 MOST_SEEN = 64  # words of each sidecar of which it is known when they took effect there
 MOST_MEMBERS = 5000
+BARRIER = 0  # the context of a read that nobody waits for
 
 
 @dataclass(slots=True, frozen=True)
@@ -139,6 +141,7 @@
         self.state = words.restored(kept.log.snapshot.data)
         for one in kept.log.between(kept.log.snapshot.index + 1, self.core.commit):
             words.apply(self.state, one)
+        self.tick_last_us = now_us
         self.wall_ms = wall_ms
         self.applied_ms = wall_ms
         self.peers: dict[str, Peer] = {}
@@ -155,6 +158,7 @@
         self.leader_us = now_us  # since when it is that one, or none
         self.fresh_us = 0  # when all that was committed was here; 0 = never known
         self.change_us = now_us
+        self.barrier = 0  # the round of the last look at who should vote
         self.say_us = now_us
         self.said: Here | None = None
         self.quiet: set[str] = set()  # sidecars of another fleet that have been spoken of
@@ -170,6 +174,10 @@
     def tick(self, now_us: int, wall_ms: int) -> list[Output]:
         """Each `tick_us`."""
         self.wall_ms = wall_ms
+        if now_us - self.tick_last_us > STALL_US:
+            self.barrier = 0
+            self.heard_us = dict.fromkeys(self.heard_us, now_us)
+        self.tick_last_us = now_us
         self.core.tick()
         self.follow_leader(now_us)
         if self.core.leads and now_us >= self.change_us:
@@ -322,12 +330,16 @@
             self.applied_ms = self.wall_ms
             self.out.append(Effect())
         for context, _ in ready.reads:
+            if context == BARRIER:
+                continue
             node, ask = self.reading.pop(context)
             held, setting = self.state.held.get(ask.name), self.state.settings.get(ask.name)
             text = json.dumps({"held": held.kind if held else None, "since": held.index if held else None,
                                "value": setting.value if setting else None}, ensure_ascii=False)
             self.answer(node, Answer(ask.number, DONE, self.state.index, text[:words.MOST_VALUE], self.me))
         for context in ready.refused_reads:
+            if context == BARRIER:
+                continue
             node, ask = self.reading.pop(context)
             self.answer(node, Answer(ask.number, ELSEWHERE, 0, "", self.core.leader))
 
@@ -364,7 +376,7 @@
             if self.leads_us:
                 self.fresh_us = max(self.fresh_us, heard[core.majority() - 1])
             else:
-                self.leads_us = now_us
+                self.leads_us, self.barrier = now_us, 0
                 self.heard_us.update(dict.fromkeys(core.voters, now_us))
         elif self.leads_us:
             self.leads_us = 0
@@ -389,15 +401,21 @@
                  for name, one in self.peers.items()]
         there.append(Candidate(self.me, self.name, self.site, True))
         away = {node: now_us - self.heard_us.get(node, now_us) for node in core.voters if node != self.me}
-        found = next_voters(self.me, core.voters, there, away, self.limits.voters, self.limits.replace_us)
-        if found is None:
-            return
+        # hazard: who was itself away for a while (a process that was stopped) finds old answers and old times
+        answered = {node for node, one in core.peers.items() if self.barrier and one.round >= self.barrier}
         try:
+            core.read(BARRIER)
+            self.barrier = core.round
+            if len(answered) + 1 < core.majority():
+                return
+            found = next_voters(self.me, core.voters, there, away, answered, self.limits.voters,
+                                self.limits.replace_us)
+            if found is None:
+                return
             core.change(found)
         except Refused:
-            return  # the last change is under way; it is looked at again
-        for node in set(found) ^ set(core.voters) | (set(found) - set(self.heard_us)):
-            self.heard_us[node] = now_us
+            return  # nothing of this term is committed yet, or the last change: it is looked at again
+        self.heard_us.update(dict.fromkeys(set(found) - set(self.heard_us), now_us))
         self.out.append(Line("voters from now on: " + ", ".join(map(name_of, sorted(found)))))
 
     # Words
@@ -445,7 +463,6 @@
                 index = self.core.propose(ask.word)
                 self.waiting[index] = Waiting(self.core.term, word.id, [(node, ask.number)])
         except Refused:
-            self.reading.pop(self.reads, None)
             self.answer(node, Answer(ask.number, ELSEWHERE, 0, "", self.core.leader))
 
     def settled(self, entry: Entry, outcome: words.Outcome) -> None:
