Agreed state on the rig: leaders, majorities, disks, clocks, links and versions broken

Change: tests that kill, stop, cut, bridge, fill, slow, copy back and revoke between three to five sidecars; who is to be taken in as a voter first gets the log from the leader and has to answer (thesis 4.2.1), as gossip knew a killed one for some seconds more and it was taken in again; a line for the last refusal is not lost.

--- a/tests/agreement/rig.py
+++ b/tests/agreement/rig.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import replace
 from typing import Any
 
 from tests.lab.playing import RIG
 from tests.sockets import LONG_S
+from wickspread.lab.breaking import Fleet
 from wickspread.lab.scene import Scene
 
 AGREES = replace(RIG, extra="""[agreement]
@@ -55,20 +57,26 @@
 
 
 async def led(scene: Scene, numbers: Any, voters: int = 0) -> int:
-    """1 and the number of the one that leads, if it does so for all of these; else 0."""
+    """1 and the number of the one that leads, if it does so for all of these; else 0. `voters`: so many, all
+    of them of these."""
     found = [await told(scene, number, "STATUS") for number in numbers]
     leaders = {one["leader"] for one in found}
     nodes: dict[str, int] = {one["node"]: number for one, number in zip(found, numbers, strict=True)}
     if len(leaders) != 1 or not leaders <= nodes.keys() or len({one["applied"] for one in found}) != 1:
         return 0
-    if voters and any(len(one["voters"]) != voters for one in found):
+    if voters and any(len(one["voters"]) != voters or not set(one["voters"]) <= nodes.keys()
+                      for one in found):
         return 0
     return nodes[leaders.pop()] + 1
 
 
 async def leads(scene: Scene, numbers: Any, voters: int = 0) -> int:
     """The number of the one that comes to lead, by the word of all of these."""
-    return await until(lambda: led(scene, numbers, voters)) - 1
+    try:
+        return await until(lambda: led(scene, numbers, voters)) - 1
+    except AssertionError as error:
+        found = [await told(scene, number, "STATUS") for number in numbers]
+        raise AssertionError(found) from error
 
 
 async def held(scene: Scene, number: int) -> set[str]:
@@ -81,3 +89,30 @@
         return all([await held(scene, number) == names for number in numbers])
 
     await until(hold)
+
+
+@contextlib.contextmanager
+def spoiled(scene: Scene, kind: str, numbers: list[int], size: float = 0.0) -> Iterator[None]:
+    """A fault of the links of these sidecars, while it lasts."""
+    broken = Fleet(scene.sidecars, scene.links)
+    ways = broken.ways(kind, numbers)
+    broken.spoil(kind, ways, size, True)
+    try:
+        yield
+    finally:
+        broken.spoil(kind, ways, size, False)
+
+
+async def says(scene: Scene, numbers: list[int], line: str, ident: str) -> int:
+    """It is said, with the same id, at one door after the other, until it is done; its index."""
+    answers: list[str] = []
+    end = time.monotonic() + LONG_S
+    while time.monotonic() < end:
+        kind, _, rest = line.partition(" ")
+        answer = await fleet(scene, numbers[len(answers) % len(numbers)], f"{kind} {ident} {rest}")
+        answers.append(answer)
+        if answer.startswith("done "):
+            return int(answer.split()[1])
+        assert answer.startswith(("unknown", "no quorum")), answer
+        await asyncio.sleep(0.1)
+    raise AssertionError(answers)
--- a/tests/agreement/test_voters.py
+++ b/tests/agreement/test_voters.py
@@ -5,11 +5,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wickspread.agreement.voters import Candidate, majority, next_voters
+from wickspread.agreement.voters import Candidate, Look, majority
 
 REPLACE_US = 60_000_000
 
 
+def look(there: list[Candidate], voters: tuple[str, ...], away: dict[str, int], answered: set[str],
+         wanted: int) -> Look:
+    return Look("s0#0", voters, {one.name: one for one in there}, away, answered, wanted, REPLACE_US)
+
+
 @st.composite
 def fleets(draw: st.DrawFn) -> tuple[list[Candidate], tuple[str, ...], dict[str, int], set[str], int]:
     """Sidecars, some of another incarnation than the voter of that name, some away, some without the log."""
@@ -27,7 +32,7 @@
 def test_one_at_a_time_never_the_leader_and_always_with_a_quorum_of_the_next(
         fleet: tuple[list[Candidate], tuple[str, ...], dict[str, int], set[str], int]) -> None:
     there, voters, away, answered, wanted = fleet
-    found = next_voters("s0#0", voters, there, away, answered, wanted, REPLACE_US)
+    found = look(there, voters, away, answered, wanted).next_voters()
     if found is None:
         return
     assert len(set(found) ^ set(voters)) == 1 and "s0#0" in found and len(set(found)) == len(found)
@@ -36,7 +41,7 @@
     assert len(well) + (len(new) if len(voters) == 1 else 0) >= majority(len(found))
     for node in new:
         assert len(found) <= wanted
-        assert [one for one in there if one.node == node][0].has_log
+        assert [one for one in there if one.node == node][0].proven
 
 
 @given(fleets())
@@ -47,13 +52,13 @@
     nodes = {one.node for one in there}
     for _ in range(20):
         away = {node: 0 if node in nodes else 2 * REPLACE_US for node in voters}
-        found = next_voters("s0#0", voters, there, away, nodes, wanted, REPLACE_US)
+        found = look(there, voters, away, nodes, wanted).next_voters()
         if found is None:
             break
         voters = found
     else:
         raise AssertionError("it never rests")
-    has = [one for one in there if one.has_log or one.node in voters]
+    has = [one for one in there if one.proven or one.node in voters]
     here = sum(node in nodes for node in voters)
     if here >= majority(len(voters)) and len(voters) - here <= 1:
         assert len(voters) >= min(wanted, len(has)) and (here == len(voters) or here <= wanted)
@@ -62,6 +67,6 @@
 def test_a_site_that_has_none_gets_the_next() -> None:
     there = [Candidate(f"s{n}#0", f"s{n}", f"site{n // 2}", True) for n in range(6)]
     voters: tuple[str, ...] = ("s0#0",)
-    while (found := next_voters("s0#0", voters, there, {}, {one.node for one in there}, 3, REPLACE_US)):
+    while (found := look(there, voters, {}, {one.node for one in there}, 3).next_voters()):
         voters = found
     assert voters == ("s0#0", "s2#0", "s4#0")
--- a/tests/overload/test_shell.py
+++ b/tests/overload/test_shell.py
@@ -105,12 +105,18 @@
     ("[overload]\ntries_per_s = 0", "overload.tries_per_s: expected a number from 0.1 to 1e+06, got 0"),
 ])
 def test_a_wrong_setting_is_one_line_and_the_end(text: str, line: str, tmp_path: Path) -> None:
-    config, operator = tmp_path / "s.json", tmp_path / "s.toml"
+    assert line in refused_start(text, "overload", tmp_path)
+
+
+def refused_start(text: str, table: str, folder: Path) -> str:
+    """The one line that a sidecar says of that table as it ends at its start."""
+    config, operator = folder / "s.json", folder / "s.toml"
     operator.write_text(text)
     config.write_text(json.dumps({"discovery": "127.0.0.1:9", "seed": "1", "settings": settings(Plan(), 0)}))
     env = {**os.environ, "PROXY_NAME": "s", "PROXY_LISTEN": "127.0.0.1:0", "PROXY_CONFIG": str(config),
            "PROXY_DISCOVERY": "127.0.0.1:9", "WICKSPREAD_OPERATOR": str(operator)}
     done = subprocess.run([sys.executable, "-m", "wickspread.daemon"], env=env, capture_output=True,
                           text=True, timeout=LONG_S)
-    said = [one for one in done.stderr.splitlines() if "overload" in one]
-    assert done.returncode == 2 and len(said) == 1 and line in said[0], done.stderr
+    said = [one for one in done.stderr.splitlines() if table in one]
+    assert done.returncode == 2 and len(said) == 1, done.stderr
+    return said[0]
--- a/wickspread/agreement/member.py
+++ b/wickspread/agreement/member.py
@@ -41,7 +41,7 @@
     Node,
     Snapshot,
 )
-from wickspread.agreement.voters import Candidate, name_of, next_voters
+from wickspread.agreement.voters import Candidate, Look, name_of
 
 TICK_US = 50_000
 LEARNER_TICK_US = 250_000  # it has no one's silence to notice
@@ -50,6 +50,8 @@
 MOST_WAITING = 256  # messages while the disk is slow, and words of one term that wait for their commit
 NEAR = 64  # entries; who is no further behind has the log
 STALL_US = 1_000_000  # between two ticks: we have been away, not the others
+TRY_US = 3_000_000  # for one who might be taken in to answer
+FAILED_US = 10_000_000  # before it is tried again
 CHANGE_US = 500_000  # between two looks at who should vote
 SAY_VOTER_US = 300_000  # between two words by gossip
 SAY_LEARNER_US = 2_000_000
@@ -158,6 +160,9 @@
         self.leader_us = now_us  # since when it is that one, or none
         self.fresh_us = 0  # when all that was committed was here; 0 = never known
         self.change_us = now_us
+        self.trying: Node = ""  # who is to be taken in, if it answers
+        self.try_until_us = 0
+        self.failed: dict[str, int] = {}  # who did not, and when
         self.barrier = 0  # the round of the last look at who should vote
         self.say_us = now_us
         self.said: Here | None = None
@@ -377,6 +382,8 @@
                 self.fresh_us = max(self.fresh_us, heard[core.majority() - 1])
             else:
                 self.leads_us, self.barrier = now_us, 0
+                self.trying = ""
+                self.core.learners.clear()
                 self.heard_us.update(dict.fromkeys(core.voters, now_us))
         elif self.leads_us:
             self.leads_us = 0
@@ -396,20 +403,18 @@
 
     def choose_voters(self, now_us: int) -> None:
         core = self.core
-        there = [Candidate(one.node(name), name, one.site, one.here.fleet == self.state.fleet
-                           and one.here.applied + NEAR >= core.commit)
-                 for name, one in self.peers.items()]
-        there.append(Candidate(self.me, self.name, self.site, True))
-        away = {node: now_us - self.heard_us.get(node, now_us) for node in core.voters if node != self.me}
         # hazard: who was itself away for a while (a process that was stopped) finds old answers and old times
         answered = {node for node, one in core.peers.items() if self.barrier and one.round >= self.barrier}
+        there = {name: Candidate(one.node(name), name, one.site, self.is_proven(one.node(name), answered))
+                 for name, one in self.peers.items() if one.here.fleet == self.state.fleet}
+        there[self.name] = Candidate(self.me, self.name, self.site, True)
+        away = {node: now_us - self.heard_us.get(node, now_us) for node in core.voters if node != self.me}
+        look = Look(self.me, core.voters, there, away, answered, self.limits.voters, self.limits.replace_us)
         try:
             core.read(BARRIER)
             self.barrier = core.round
-            if len(answered) + 1 < core.majority():
-                return
-            found = next_voters(self.me, core.voters, there, away, answered, self.limits.voters,
-                                self.limits.replace_us)
+            self.prove(look, now_us)
+            found = look.next_voters() if len(answered) + 1 >= core.majority() else None
             if found is None:
                 return
             core.change(found)
@@ -418,6 +423,25 @@
         self.heard_us.update(dict.fromkeys(set(found) - set(self.heard_us), now_us))
         self.out.append(Line("voters from now on: " + ", ".join(map(name_of, sorted(found)))))
 
+    def is_proven(self, node: Node, answered: set[Node]) -> bool:
+        """The leader has sent it what it lacked, and it answers (thesis, 4.2.1)."""
+        one = self.core.peers.get(node)
+        return one is not None and node in answered and one.match + NEAR >= self.core.commit
+
+    def prove(self, look: Look, now_us: int) -> None:
+        """The best one that may be taken in gets the log from us; the next, if it does not answer."""
+        wanted = look.to_prove()
+        if self.trying and (self.trying not in [one.node for one in wanted]
+                            or (now_us >= self.try_until_us and self.trying not in look.answered)):
+            self.core.forget(self.trying)
+            self.failed[name_of(self.trying)] = now_us
+            self.trying = ""
+        self.failed = {name: at for name, at in self.failed.items() if now_us - at < FAILED_US}
+        free = [one for one in wanted if one.name not in self.failed]
+        if not self.trying and free:
+            self.trying, self.try_until_us = free[0].node, now_us + TRY_US
+            self.core.learn(self.trying)
+
     # Words
 
     def ask_on(self, now_us: int) -> None:
--- a/wickspread/agreement/start.py
+++ b/wickspread/agreement/start.py
@@ -235,7 +235,7 @@
         if self.closed:
             raise CallError("this sidecar takes no part any more; its log has why")
         if word == "STATUS":
-            return shown(self.member.described(now_us))
+            return shown({**self.member.described(now_us), "counts": dict(self.links.counts)})
         if word == "LOG":
             return shown({"age_s": self.member.described(now_us)["age_s"], "words": self.member.log()})
         if word == "WORDS":
--- a/wickspread/agreement/transport.py
+++ b/wickspread/agreement/transport.py
@@ -120,7 +120,8 @@
         self.back: dict[Node, tuple[Session, asyncio.StreamWriter]] = {}  # where its questions came from
         self.tasks: set[asyncio.Task[None]] = set()
         self.counts: Counter[str] = Counter()
-        self.refused = 0
+        self.refused = self.told_refused = 0
+        self.last_refused = ""
         self.next_complaint = 0.0
         self.closed = False
 
@@ -224,15 +225,20 @@
             first = None
 
     def refuse(self, text: str) -> None:
-        """One line a second at most, whatever comes."""
         self.refused += 1
-        if self.loop.time() >= self.next_complaint:
-            self.next_complaint = self.loop.time() + COMPLAIN_S
+        self.last_refused = text
+        self.complain()
+
+    def complain(self) -> None:
+        """One line a second at most, whatever comes."""
+        if self.refused > self.told_refused and self.loop.time() >= self.next_complaint:
+            self.next_complaint, self.told_refused = self.loop.time() + COMPLAIN_S, self.refused
             log.warning("agreement: %d connections or frames refused so far, the last of %s", self.refused,
-                        text)
+                        self.last_refused)
 
     def look(self) -> None:
-        """Those whose certificate was revoked meanwhile go."""
+        """Now and then: those whose certificate was revoked meanwhile go."""
+        self.complain()
         for session, writer in list(self.sessions.items()):
             if session.is_revoked():
                 self.refuse(f"{session.peer}: revoked")
--- a/wickspread/lab/gossip.py
+++ b/wickspread/lab/gossip.py
@@ -49,6 +49,11 @@
                 f'certificate_file = "{path}.cert"\nfleet_keys = ["{self.folder / "fleet.pub"}"]\n'
                 f'revoked_file = "{self.folder / "revoked"}"\nsocket = "{path}.sock"\n')
 
+    def revoke(self, name: str) -> None:
+        """That instance's certificate: nobody listens to it from now on."""
+        serial = files.certificate(f"{self.folder / name}.cert").serial
+        files.put(str(self.folder / "revoked"), f"{serial}\n", replace=True)
+
 
 class Liar:
     """Takes part as any other, and says of all its nodes that they are silent, or that they are well."""
