--- a/wickspread/agreement/core.py
+++ b/wickspread/agreement/core.py
@@ -89,8 +89,10 @@
     """A voter, or a learner while no one has taken it in."""
 
     def __init__(self, me: Node, log: Log, hard: HardState, dice: random.Random,
-                 timing: Timing = Timing(), commit: int = 0) -> None:  # noqa: B008 - a frozen record
-        """`commit`: what was known to be committed when it ended; the caller has applied all up to there."""
+                 timing: Timing = Timing(), commit: int = 0, early: bool = False) -> None:  # noqa: B008
+        """`commit`: what was known to be committed when it ended; the caller has applied all up to there.
+        `early`: the caller sends a Ready's Appends before it has written, and says `wrote` once it has
+        (10.2.1): so a commit takes one sync and not two in a row."""
         self.me = me
         self.log = log
         self.term, self.vote = hard.term, hard.vote
@@ -111,6 +113,8 @@
         self.transfer_to: Node = ""
         self.transfer_elapsed = 0
         self.told = HardState(self.term, self.vote)  # as last written
+        self.early = early
+        self.stable = log.last_index  # entries up to there are written; of use where `early`
         self.out = Ready()
         self.be_patient()
 
@@ -135,6 +139,8 @@
     def ready(self) -> Ready:
         """What is to be done now. Hazard: what it holds counts as written from here on."""
         out, self.out = self.out, Ready()
+        if not self.early:
+            self.stable = self.log.last_index
         hard = HardState(self.term, self.vote)
         if hard != self.told:
             out.hard = self.told = hard
@@ -143,6 +149,13 @@
             self.applied = self.commit
         return out
 
+    def wrote(self, entries: Sequence[Entry]) -> None:
+        """Those of a Ready. Hazard: what has come in their place since is not among them."""
+        if entries:
+            waiting = self.out.entries
+            self.stable = min(entries[-1].index, waiting[0].index - 1 if waiting else self.log.last_index)
+            self.advance()
+
     # Time
 
     def tick(self) -> None:
@@ -353,6 +366,7 @@
     def note(self, entries: Iterable[Entry]) -> None:
         """They are to be written: in place of what the Ready has from the first one's index on."""
         added = list(entries)
+        self.stable = min(self.stable, added[0].index - 1)
         self.out.entries = [one for one in self.out.entries if one.index < added[0].index] + added
 
     def propose(self, data: bytes) -> int:
@@ -469,7 +483,8 @@
         if not self.leads:
             return
         voters = self.voters
-        has = sorted((self.log.last_index if node == self.me else self.peers[node].match
+        own = self.stable if self.early else self.log.last_index
+        has = sorted((own if node == self.me else self.peers[node].match
                       if node in self.peers else 0 for node in voters), reverse=True)
         index = has[self.majority() - 1]
         if index > self.commit and self.log.term_at(index) == self.term:
--- a/wickspread/agreement/member.py
+++ b/wickspread/agreement/member.py
@@ -139,7 +139,7 @@
         self.incarnation = kept.incarnation
         self.limits = limits
         self.dice = dice
-        self.core = Core(self.me, kept.log, kept.hard, dice, timing, kept.commit)
+        self.core = Core(self.me, kept.log, kept.hard, dice, timing, kept.commit, early=True)
         self.state = words.restored(kept.log.snapshot.data)
         for one in kept.log.between(kept.log.snapshot.index + 1, self.core.commit):
             words.apply(self.state, one)
@@ -312,11 +312,16 @@
                 continue
             self.writing = ready
             self.out.append(Write(ready.hard, core.applied, ready.snapshot, tuple(ready.entries), core.told))
+            if ready.hard is None:  # hazard: nothing of a term may leave before the term is written
+                early = [one for one in ready.messages if isinstance(one, Append)]
+                self.out += [Post(one.target, one) for one in early]
+                ready.messages = [one for one in ready.messages if not isinstance(one, Append)]
         if len(core.out.messages) > MOST_WAITING:  # as if the network had lost them
             del core.out.messages[:-MOST_WAITING]
 
     def finish(self, ready: Ready, now_us: int) -> None:
         """Of what is written: send, then apply."""
+        self.core.wrote(ready.entries)
         for message in ready.messages:
             if isinstance(message, Install):
                 self.out.append(Post(message.target, Offer(message.source, message.target, message.term,
