--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -84,6 +84,8 @@
     for seed in range(count):
         world = World(seed, voters + 2, voters)
         world.run(12.0)
+        while not world.leaders():
+            world.run(0.1)
         old = world.leaders()[0]
         world.kill(old)
         start = world.now_us
@@ -244,7 +246,8 @@
         ours.close()
         base.close()
     own, other = [statistics.median(one) * 1e6 for one in times]
-    print(f"one save: {own:.0f} us by a file of records, {other:.0f} us by sqlite3 (WAL, full); medians of {count}")
+    print(f"one save: {own:.0f} us by a file of records, {other:.0f} us by sqlite3 (WAL, full); medians of "
+          f"{count}")
 
 
 def main() -> None:
@@ -266,8 +269,8 @@
         on_cpu = asyncio.run(on(plan(3, 13), lambda scene: rest(scene, 20.0, True)))
         off_cpu = asyncio.run(on(replace(plan(3, 13), extra=""), lambda scene: rest(scene, 20.0, False)))
         more = [(a - b) * 100 for a, b in zip(on_cpu, off_cpu, strict=True)]
-        print(f"  CPU beside gossip's: {max(more):.2f}% of a core at the busiest, {statistics.mean(more):.2f}% "
-              f"on average ({statistics.mean(off_cpu) * 100:.2f}% without)")
+        print(f"  CPU beside gossip's: {max(more):.2f}% of a core at the busiest, "
+              f"{statistics.mean(more):.2f}% on average ({statistics.mean(off_cpu) * 100:.2f}% without)")
         virtual_rest(asked.learners)
     if "served" in asked.what:
         asyncio.run(both())
--- a/wickspread/agreement/core.py
+++ b/wickspread/agreement/core.py
@@ -38,6 +38,7 @@
 
     election: int = 10  # and up to twice as long, by chance
     heartbeat: int = 2
+    again: int = 3  # between two questions whether there would be votes
     pre_vote: bool = True
     check_quorum: bool = True
 
@@ -158,12 +159,23 @@
 
     # Time
 
+    def rest(self) -> int:
+        """Ticks until one has something to do, at least one."""
+        if self.role is Role.LEADER:
+            return max(1, self.timing.heartbeat - self.elapsed)
+        if self.role is Role.CANDIDATE:
+            return 1
+        return max(1, self.patience - self.elapsed)
+
     def tick(self) -> None:
         self.elapsed += 1
         if self.role is Role.LEADER:
             self.tick_leader()
         elif self.elapsed >= self.patience and self.me in self.voters:
             self.campaign()
+        elif self.role is Role.CANDIDATE and self.pre and self.elapsed % self.timing.again == 0:
+            # who has heard the leader a moment longer has passed over it, and would not be asked for long
+            self.ask_for_votes(pre=True)
 
     def tick_leader(self) -> None:
         self.quorum_elapsed += 1
@@ -215,6 +227,9 @@
         if self.won():
             self.elected()
             return
+        self.ask_for_votes(pre, transfer)
+
+    def ask_for_votes(self, pre: bool, transfer: bool = False) -> None:
         asked = self.term + 1 if pre else self.term
         for node in self.voters:
             if node != self.me:
--- a/wickspread/agreement/member.py
+++ b/wickspread/agreement/member.py
@@ -44,7 +44,7 @@
 from wickspread.agreement.voters import Candidate, Look, name_of
 
 TICK_US = 50_000
-LEARNER_TICK_US = 250_000  # it has no one's silence to notice
+MOST_REST = 20  # ticks
 TIMING = Timing(election=12, heartbeat=4)
 COMPACT = 1024  # entries, after which they become a snapshot
 MOST_WAITING = 256  # messages while the disk is slow, and words of one term that wait for their commit
@@ -144,6 +144,8 @@
         for one in kept.log.between(kept.log.snapshot.index + 1, self.core.commit):
             words.apply(self.state, one)
         self.tick_last_us = now_us
+        self.planned = 1
+        self.unsaid = True
         self.wall_ms = wall_ms
         self.applied_ms = wall_ms
         self.peers: dict[str, Peer] = {}
@@ -172,18 +174,29 @@
     # What comes in
 
     @property
-    def tick_us(self) -> int:
-        """Between two ticks."""
-        return TICK_US if self.me in self.core.voters else LEARNER_TICK_US
+    def due_us(self) -> int:
+        """When to `tick` next: a process with nothing to do is not woken. What comes may bring it forward."""
+        if self.asks.open or self.fetch.number:
+            ticks = 1
+        elif self.me in self.core.voters:
+            ticks = self.core.rest()
+        else:
+            ticks = (self.fetch.due_us - self.tick_last_us) // TICK_US + 1
+        if self.unsaid:
+            ticks = min(ticks, (self.say_us - self.tick_last_us) // TICK_US + 1)
+        self.planned = max(1, min(ticks, MOST_REST))
+        return self.tick_last_us + self.planned * TICK_US
 
     def tick(self, now_us: int, wall_ms: int) -> list[Output]:
-        """Each `tick_us`."""
+        """At `due_us`. Hazard: time in which this process got no CPU is not counted; what it
+        has not read yet may say that all is well."""
         self.wall_ms = wall_ms
-        if now_us - self.tick_last_us > STALL_US:
+        if now_us - self.tick_last_us > self.planned * TICK_US + STALL_US:
             self.barrier = 0
             self.heard_us = dict.fromkeys(self.heard_us, now_us)
+        for _ in range(max(1, min(self.planned, (now_us - self.tick_last_us + TICK_US // 5) // TICK_US))):
+            self.core.tick()
         self.tick_last_us = now_us
-        self.core.tick()
         self.follow_leader(now_us)
         if self.core.leads and now_us >= self.change_us:
             self.change_us = now_us + CHANGE_US
@@ -192,8 +205,19 @@
         self.fetch_on(now_us)
         return self.done(now_us)
 
+    def catch_up(self, now_us: int) -> None:
+        """The ticks that have passed since the last one, but the one that something is due at: what comes now
+        counts from now."""
+        passed = min((now_us - self.tick_last_us) // TICK_US, self.planned - 1)
+        if passed > 0:
+            for _ in range(passed):
+                self.core.tick()
+            self.tick_last_us += passed * TICK_US
+            self.planned -= passed
+
     def received(self, node: Node, frame: Frame, now_us: int) -> list[Output]:
         """From that node, as its session has shown."""
+        self.catch_up(now_us)
         if isinstance(frame, Message):
             self.heard_us[node] = now_us
             self.core.step(frame)
@@ -359,8 +383,10 @@
         votes = self.me in core.voters
         here = Here(self.incarnation, self.state.fleet, core.term if votes else 0,
                     core.leader if votes else "", 0, votes, core.commit, self.state.index, self.applied_ms)
-        if here == self.said or now_us < self.say_us:
+        self.unsaid = here != self.said
+        if not self.unsaid or now_us < self.say_us:
             return
+        self.unsaid = False
         self.said = here
         self.say_us = now_us + (SAY_VOTER_US if votes else SAY_LEARNER_US)
         since_ms = max(0, now_us - self.leader_us) // 1000
@@ -415,6 +441,9 @@
         there[self.name] = Candidate(self.me, self.name, self.site, True)
         away = {node: now_us - self.heard_us.get(node, now_us) for node in core.voters if node != self.me}
         look = Look(self.me, core.voters, there, away, answered, self.limits.voters, self.limits.replace_us)
+        if look.is_settled() and not self.trying:
+            self.barrier = 0
+            return
         try:
             core.read(BARRIER)
             self.barrier = core.round
--- a/wickspread/agreement/start.py
+++ b/wickspread/agreement/start.py
@@ -65,6 +65,7 @@
         self.addresses: dict[str, Address] = {}  # as last heard: one held for dead may be there yet
         self.next_complaint = 0.0
         self.closed = False
+        self.due_us = 0  # when the timer fires; 0: it is not set yet, or has fired
         self.timer: asyncio.TimerHandle | None = None
         self.looking: asyncio.TimerHandle | None = None
         self.again: asyncio.TimerHandle | None = None
@@ -158,7 +159,19 @@
         if self.closed:
             return
         self.step(lambda: self.member.tick(self.engine.clock.now_us(), wall_ms()))
-        self.timer = self.engine.loop.call_later(self.member.tick_us / 1e6, self.tick)
+        self.due_us = 0
+        self.arm()
+
+    def arm(self) -> None:
+        """The timer is set anew where what has come brings the next tick forward."""
+        due_us = self.member.due_us
+        if self.closed or (self.due_us and self.due_us <= due_us):
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.due_us = due_us
+        wait_us = max(0, due_us - self.engine.clock.now_us())
+        self.timer = self.engine.loop.call_later(wait_us / 1e6 + 0.001, self.tick)
 
     def look(self) -> None:
         self.links.look()
@@ -193,6 +206,8 @@
                 future = self.contexts.pop(one.context, None)
                 if future is not None and not future.done():
                     future.set_result(one)
+        if self.due_us:
+            self.arm()
 
     def write(self, one: Write) -> None:
         if not self.closed:
--- a/wickspread/agreement/transport.py
+++ b/wickspread/agreement/transport.py
@@ -42,6 +42,7 @@
         self.node = node
         self.waiting: deque[Frame] = deque()
         self.size = 0
+        self.used_s = links.loop.time()
         self.wake = asyncio.Event()
         self.task = links.loop.create_task(self.run())
 
@@ -51,6 +52,7 @@
         if self.size + size > MOST_WAITING:
             return False
         self.size += size
+        self.used_s = self.links.loop.time()
         self.waiting.append(frame)
         self.wake.set()
         return True
@@ -80,11 +82,11 @@
                     data = session.seal(frames.encode(frame))
                     links.counts["bytes out"] += len(data)
                     writer.write(data)
-                    async with asyncio.timeout(STALL_S):
-                        await writer.drain()
+                    if writer.transport.get_write_buffer_size():
+                        async with asyncio.timeout(STALL_S):
+                            await writer.drain()
                 self.wake.clear()
-                async with asyncio.timeout(IDLE_S):
-                    await self.wake.wait()
+                await self.wake.wait()  # for long: `Links.look` ends it
             reader_task.result()
         except Refused as error:
             links.refuse(f"{self.node}: {error}")
@@ -237,7 +239,10 @@
                         self.last_refused)
 
     def look(self) -> None:
-        """Now and then: those whose certificate was revoked meanwhile go."""
+        """Now and then: connections of no use go, and those whose certificate was revoked meanwhile."""
+        for link in list(self.links.values()):
+            if self.loop.time() - link.used_s > IDLE_S:
+                link.task.cancel()
         self.complain()
         for session, writer in list(self.sessions.items()):
             if session.is_revoked():
--- a/wickspread/agreement/voters.py
+++ b/wickspread/agreement/voters.py
@@ -56,6 +56,10 @@
         return sorted((one for one in self.there.values() if one.name not in names),
                       key=lambda one: (sites[one.site], one.name))
 
+    def is_settled(self) -> bool:
+        """As many as are wanted, and none is lost."""
+        return len(self.live()) == len(self.voters) == self.wanted
+
     def to_prove(self) -> list[Candidate]:
         """Of whom it should be known whether they can be taken in, the best first."""
         return self.free() if len(self.live()) < self.wanted else []
--- a/wickspread/checking/fleets.py
+++ b/wickspread/checking/fleets.py
@@ -42,6 +42,7 @@
     member: Member
     disk: Kept
     life: int = 0
+    due_us: int = 0  # of its next tick
     up: bool = True
     stopped: bool = False
     pending: Write | None = None
@@ -76,7 +77,8 @@
             disk = Kept(self.incarnation(name, 0))
             self.minds[name] = Mind(name, self.make(name, disk), disk)
         for mind in self.minds.values():
-            self.later(self.dice.randrange(50_000), partial(self.tick, mind, 0))
+            mind.due_us = self.now_us + self.dice.randrange(50_000)
+            self.later(mind.due_us - self.now_us, partial(self.tick, mind, 0, mind.due_us))
         self.later(3_000_000, self.begin)
 
     def incarnation(self, name: str, number: int) -> str:
@@ -100,12 +102,19 @@
             does()
         self.now_us = end_us
 
-    def tick(self, mind: Mind, life: int) -> None:
-        if mind.life != life:
+    def tick(self, mind: Mind, life: int, due_us: int) -> None:
+        if mind.life != life or mind.due_us != due_us:
             return
-        if not mind.stopped:
+        mind.due_us = 0
+        if mind.stopped:
+            self.arm(mind, self.now_us + 50_000)
+        else:
             self.perform(mind, mind.member.tick(self.now_us, self.now_us // 1000))
-        self.later(mind.member.tick_us, lambda: self.tick(mind, life))
+
+    def arm(self, mind: Mind, due_us: int) -> None:
+        if not mind.due_us or due_us < mind.due_us:
+            mind.due_us = due_us
+            self.later(max(0, due_us - self.now_us), partial(self.tick, mind, mind.life, due_us))
 
     # The network
 
@@ -137,6 +146,7 @@
                 self.spread(mind, one.here)
             elif isinstance(one, Answered):
                 self.answered(mind, one)
+        self.arm(mind, mind.member.due_us)
 
     def post(self, mind: Mind, one: Post) -> None:
         life, there = mind.life, self.minds[name_of(one.to)]
@@ -281,8 +291,8 @@
     def start(self, mind: Mind) -> None:
         mind.up = True
         mind.member = self.make(mind.name, mind.disk)
-        life = mind.life
-        self.tick(mind, life)
+        mind.due_us = self.now_us
+        self.tick(mind, mind.life, self.now_us)
 
     def wake(self, mind: Mind, life: int) -> None:
         if mind.life != life or not mind.stopped:
