Places to be out under budgets, decided as the agreed words are applied

Change: settings out.node, out.sidecar and by site, class, cell; suspend and drain take a place or say who has them; permit, return, a line, force; the leader adds what is out by itself; a later start gives a place back. Also: who fetches is charged what it gets, not what it might (1,003 sidecars took over 60 s for a word).

--- a/wickspread/agreement/command.py
+++ b/wickspread/agreement/command.py
@@ -92,6 +92,9 @@
     lines += [f"{one['kind']} {name}  since word {one['index']}" for name, one in found["held"].items()]
     lines += [f"{name} = {one['value']}  since word {one['index']}"
               for name, one in found["settings"].items()]
+    lines += [f"{one['what']} {one['name']} holds a place since word {one['index']}, by {one['by']}"
+              f"{', forced: ' + one['forced'] if one['forced'] else ''}" for one in found["places"]]
+    lines += [f"{name} waits for a place" for name in found["line"]]
     return lines + [f"word {index} is of a kind that this version does not know" for index in found["unread"]]
 
 
@@ -101,7 +104,9 @@
          "words": ("WORDS", words, "what holds, as this sidecar knows it")}
 SAYS = {"suspend": "nothing new is sent to an upstream until it is resumed",
         "drain": "nothing new is sent to an upstream until its next start",
-        "resume": "an upstream may be sent to again", "set": "a setting for all", "unset": "none any more"}
+        "resume": "an upstream may be sent to again",
+        "permit": "take a place to be out, of node:NAME or sidecar:NAME", "return": "it is free again",
+        "set": "a setting for all", "unset": "none any more"}
 
 
 def show(told: argparse.Namespace) -> int:
@@ -115,7 +120,7 @@
     ident = told.id or secrets.token_hex(4)
     parts = {"begin": ["BEGIN"], "read": ["READ", told.name]}.get(
         told.command, [told.command.upper(), ident, told.name])
-    if told.command == "set":
+    if told.value:
         parts.append(told.value)
     if any(not part.isprintable() for part in parts):
         raise ValueError("expected printable characters")
@@ -149,6 +154,8 @@
         one.add_argument("name")
         if name == "set":
             one.add_argument("value")
+        elif name in ("suspend", "drain", "permit"):
+            one.add_argument("value", nargs="?", choices=["force", "wait"], default="")
         one.add_argument("--id", default="", help="of this word; the same one says it again")
     told = parser.parse_args(arguments)
     try:
--- a/wickspread/agreement/fetching.py
+++ b/wickspread/agreement/fetching.py
@@ -144,6 +144,13 @@
                  digest(found.data), offset, found.data[offset:offset + want.most])
 
 
+def size(told: Batch | Piece) -> int:
+    """Bytes on the way, nearly."""
+    if isinstance(told, Piece):
+        return 160 + len(told.data)
+    return 80 + sum(len(one.data) + 32 for one in told.entries)
+
+
 @functools.lru_cache(maxsize=2)  # of our own snapshot it is asked for with each piece
 def digest(data: bytes) -> bytes:
     return hashlib.blake2b(data, digest_size=16).digest()
--- a/wickspread/agreement/member.py
+++ b/wickspread/agreement/member.py
@@ -10,11 +10,13 @@
 import json
 import random
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any, cast
 
-from wickspread.agreement import fetching, words
+import msgspec
+
+from wickspread.agreement import fetching, permits, words
 from wickspread.agreement.asking import DONE, ELSEWHERE, ERROR, UNKNOWN, Answered, Asks
 from wickspread.agreement.core import Core, Ready, Refused, Timing
 from wickspread.agreement.fetching import Budget, Fetch
@@ -149,6 +151,7 @@
         self.wall_ms = wall_ms
         self.applied_ms = wall_ms
         self.peers: dict[str, Peer] = {}
+        self.voting: dict[str, Peer] = {}  # those of them who say that they vote
         self.asks = Asks()
         self.fetch = Fetch(dice, now_us)
         self.budget = Budget(limits.bytes_per_s, now_us)
@@ -170,6 +173,7 @@
         self.said: Here | None = None
         self.quiet: set[str] = set()  # sidecars of another fleet that have been spoken of
         self.out: list[Output] = []
+        self.witness: Callable[[words.Word], permits.Facts | None] | None = None  # the caller's
 
     # What comes in
 
@@ -251,7 +255,10 @@
         peer.here, peer.site, peer.at_us = here, site, now_us
         if not peer.seen or peer.seen[-1][0] < here.applied:
             peer.seen.append((here.applied, here.at_ms))
-        if here.votes:
+        if not here.votes:
+            self.voting.pop(name, None)
+        else:
+            self.voting[name] = peer
             if here.commit > self.core.commit:
                 self.fetch.heard_of_more(now_us, len(self.peers))
             elif here.commit == self.core.commit and here.fleet == self.state.fleet:
@@ -261,6 +268,7 @@
     def left(self, name: str, now_us: int) -> list[Output]:
         """Gossip holds it for dead."""
         self.peers.pop(name, None)
+        self.voting.pop(name, None)
         return self.done(now_us)
 
     def unsent(self, node: Node, frame: Frame, now_us: int) -> list[Output]:
@@ -403,7 +411,7 @@
         else:
             # of the latest term; a leader's own word before others'
             best = max(((one.here.term, one.here.leader == one.node(name), one.here.leader)
-                        for name, one in self.peers.items() if one.here.votes and one.here.leader),
+                        for name, one in self.voting.items() if one.here.leader),
                        default=(0, False, ""))
             leader = best[2]
         if core.leads:
@@ -518,11 +526,18 @@
             elif sum(len(one.who) for one in self.waiting.values()) >= MOST_WAITING:
                 self.answer(node, Answer(ask.number, ERROR, 0, "too many words at a time", self.me))
             else:
-                index = self.core.propose(ask.word)
+                index = self.core.propose(self.witnessed(word, ask.word))
                 self.waiting[index] = Waiting(self.core.term, word.id, [(node, ask.number)])
         except Refused:
             self.answer(node, Answer(ask.number, ELSEWHERE, 0, "", self.core.leader))
 
+    def witnessed(self, word: words.Word, data: bytes) -> bytes:
+        """With what this leader knows of who is out; of nothing that somebody else has said of it."""
+        if word.kind not in words.NEEDS_FACTS:
+            return data
+        told = msgspec.structs.replace(word, facts=self.witness(word) if self.witness else None)
+        return words.fitting(told)
+
     def settled(self, entry: Entry, outcome: words.Outcome) -> None:
         """It is committed and applied: who waits is told."""
         waits = self.waiting.pop(entry.index, None)
@@ -532,7 +547,8 @@
             if waits.term != entry.term:
                 told = Answer(number, UNKNOWN, 0, "", self.core.leader)
             else:
-                told = Answer(number, ERROR if outcome.error else DONE, outcome.index, outcome.error, self.me)
+                told = Answer(number, ERROR if outcome.error else DONE, outcome.index,
+                              outcome.error or outcome.text, self.me)
             self.answer(node, told)
 
     # What is fetched
@@ -541,18 +557,15 @@
         """What is committed and not here. A voter has it told by the leader, and asks only if it has to."""
         if self.me in self.core.voters and not self.fetch.news:
             return
-        voters = [one.node(name) for name, one in self.peers.items() if one.here.votes]
-        found = self.fetch.question(now_us, voters, self.core.commit)
+        found = self.fetch.question(now_us, [one.node(name) for name, one in self.voting.items()],
+                                    self.core.commit)
         if found is not None:
             self.out.append(Post(*found))
 
     def wanted(self, node: Node, want: Want, now_us: int) -> None:
-        wait_ms = self.budget.take(want.most, now_us)
-        if wait_ms:
-            self.out.append(Post(node, Later(want.number, wait_ms)))
-        else:
-            self.out.append(Post(node, fetching.answer(want, self.core.log, self.core.applied,
-                                                       self.state.fleet)))
+        answer = fetching.answer(want, self.core.log, self.core.applied, self.state.fleet)
+        wait_ms = self.budget.take(fetching.size(answer), now_us)
+        self.out.append(Post(node, Later(want.number, wait_ms) if wait_ms else answer))
 
     def offered(self, offer: Offer, now_us: int) -> None:
         """What the leader would have installed; first it is told how far we are."""
--- a/wickspread/agreement/start.py
+++ b/wickspread/agreement/start.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,7 @@
 from wickspread.agreement.store import Damaged, Store
 from wickspread.agreement.transport import Address, Links
 from wickspread.agreement.voters import name_of
+from wickspread.agreement.witness import Witness
 from wickspread.engine import wall
 from wickspread.engine.engine import Engine
 from wickspread.gossip.instance import Word
@@ -41,7 +43,8 @@
 LOOK_S = 1.0
 COMPLAIN_S = 1.0
 SAYS = {"SUSPEND": words.SUSPEND, "DRAIN": words.DRAIN, "RESUME": words.RESUME, "SET": words.SET,
-        "UNSET": words.UNSET}
+        "UNSET": words.UNSET, "PERMIT": words.PERMIT, "RETURN": words.RETURN}
+NOBODY = 0  # the context of a word that nobody waits for
 
 
 class Agreeing:
@@ -73,6 +76,8 @@
             self.member = self.opened(seed)
         except OSError as error:
             raise OperatorError(f"agreement.folder: {error}") from error
+        self.witness = Witness(engine, directory, gossip)
+        self.member.witness = self.witness.facts
         clock = engine.clock
         self.links = Links(gossip.keyring, self.member.me, clock.now_us, self.address, self.local,
                            self.received, self.unsent, self.broken)
@@ -175,6 +180,9 @@
 
     def look(self) -> None:
         self.links.look()
+        if self.member.core.leads and not self.member.asks.open:
+            for word in self.witness.back(self.member.state):
+                self.step(partial(self.member.say, NOBODY, word, self.engine.clock.now_us()))
         self.looking = self.engine.loop.call_later(LOOK_S, self.look)
 
     # What comes of it
@@ -234,7 +242,7 @@
             self.close()
 
     def effect(self) -> None:
-        held = {name: one.born_ms * 1000 + 999 if one.kind == words.DRAIN and one.born_ms else ALWAYS
+        held = {name: one.born_ms * 1000 + 999 if one.kind == words.DRAIN else ALWAYS
                 for name, one in self.member.state.held.items()}
         if held != self.holding.sources.get("fleet", {}):
             self.holding.put("fleet", held)
@@ -268,18 +276,24 @@
             raise CallError("expected FLEET and one of BEGIN, STATUS, LOG, WORDS, READ NAME, "
                             f"{', '.join(SAYS)} ID NAME")
         ident, _, name = rest.partition(" ")
-        name, _, value = name.partition(" ") if word == "SET" else (name, "", "")
-        born_ms = self.known(name) if word in ("SUSPEND", "DRAIN") else 0
+        value, born_ms = "", 0
+        if word == "SET":
+            name, _, value = name.partition(" ")
+        elif name.rpartition(" ")[2] in (words.FORCE, words.WAIT):
+            name, _, value = name.rpartition(" ")
+        if word in ("SUSPEND", "DRAIN"):
+            born_ms = self.known(name)
+        elif word == "PERMIT" and name.startswith("node:"):
+            born_ms = self.known(name.removeprefix("node:"))
         said = words.Word(SAYS[word], ident, self.member.name, wall_ms(), name, born_ms, value)
         return await self.answered(lambda context: self.member.say(context, said, now_us))
 
     def known(self, name: str) -> int:
-        """Its start as it is known here, in Unix ms. Raises CallError for a name that was never listed."""
-        number = self.directory.numbers.get(name)
-        if number is None and name not in self.member.state.held:
-            raise CallError("no upstream of that name was ever listed")
-        entry = self.engine.balancer.entries.get(number) if number is not None else None
-        return entry.started_us // 1000 if entry is not None else 0
+        """Its start as it is listed here, in Unix ms; 0 = long ago. Raises CallError for one that is not."""
+        host = self.witness.host(name)
+        if host is None:
+            raise CallError("no upstream of that name is listed")
+        return host.entry.started_us // 1000
 
     async def answered(self, says: Callable[[int], list[Output]]) -> str:
         self.last_context += 1
--- /dev/null
+++ b/wickspread/agreement/witness.py
@@ -0,0 +1,76 @@
+"""What this sidecar knows of who is out, for words that take or give a place: its list, what gossip has
+against nodes, and which sidecars gossip holds for dead. It decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from wickspread.agreement import words
+from wickspread.agreement.permits import MOST_TOLD, SCOPES, Facts, Member
+from wickspread.agreement.words import State, Word
+from wickspread.decisions.interface import UpstreamState
+from wickspread.engine.engine import Engine
+from wickspread.engine.seams import Host
+from wickspread.gossip.start import Gossiping
+from wickspread.roster.listing import Directory
+
+BAD = 0.5  # what all sidecars together have against a node, from which on it counts as out
+
+
+class Witness:
+    def __init__(self, engine: Engine, directory: Directory, gossip: Gossiping) -> None:
+        self.engine = engine
+        self.directory = directory
+        self.gossip = gossip
+
+    def facts(self, word: Word) -> Facts | None:
+        """None: nothing is known of whom it names."""
+        what, name = "node", word.name
+        if word.kind in (words.PERMIT, words.RETURN):
+            what, _, name = word.name.partition(":")
+        found = list(self.nodes() if what == "node" else self.sidecars())
+        about = next((one for one, _ in found if one.name == name), None)
+        if about is None:
+            return None
+        total = tuple(sum(one.under(scope) == about.under(scope) for one, _ in found) for scope in SCOPES)
+        down = [one for one, is_down in found if is_down and one.name != name]
+        assert len(total) == 4
+        return Facts(what, about, total, tuple(down[:MOST_TOLD]), max(0, len(down) - MOST_TOLD))
+
+    def nodes(self) -> Iterator[tuple[Member, bool]]:
+        """Each that is listed, and whether it is out by itself."""
+        assert self.gossip.transport is not None
+        weights = self.gossip.transport.instance.weights
+        zones = {number: name for name, number in self.directory.zones.items()}
+        kinds = {number: name for name, number in self.directory.kinds.items()}
+        for number, host in self.engine.known().items():
+            told, name = host.told or host.entry, self.directory.names.get(number)
+            if name is not None and told.state is not UpstreamState.GONE:
+                yield (Member(name, zones.get(told.zone, ""), kinds.get(told.kind, ""), str(told.cell)),
+                       told.state is not UpstreamState.READY or weights.get(name, 0.0) >= BAD)
+
+    def sidecars(self) -> Iterator[tuple[Member, bool]]:
+        assert self.gossip.transport is not None
+        core = self.gossip.transport.instance.core
+        yield Member(core.name, core.site), False
+        for peer in core.peers.living():
+            yield Member(peer.name, peer.site), False
+        for peer in core.peers.dead():
+            yield Member(peer.name, peer.site), True
+
+    def back(self, state: State) -> Iterator[Word]:
+        """Words that give places back: of nodes that are listed as ready with a later start than the one that
+        went out."""
+        for one in list(state.places.held.values()):
+            host = self.host(one.member.name) if one.what == "node" else None
+            if host is None or (host.told or host.entry).state is not UpstreamState.READY:
+                continue
+            if host.entry.started_us // 1000 > one.born_ms:
+                held = state.held.get(one.member.name)
+                if held is None:
+                    yield Word(words.RETURN, f"back-{one.index}", "", 0, f"node:{one.member.name}")
+                elif held.kind == words.DRAIN:
+                    yield Word(words.RESUME, f"back-{one.index}", "", 0, one.member.name)
+
+    def host(self, name: str) -> Host | None:
+        return self.engine.known().get(self.directory.numbers.get(name, -1))
--- a/wickspread/agreement/words.py
+++ b/wickspread/agreement/words.py
@@ -14,10 +14,14 @@
 import msgspec
 from msgspec import Meta
 
+from wickspread.agreement import permits
 from wickspread.agreement.messages import MOST_DATA, MOST_SNAPSHOT, Entry
 
 SUSPEND, DRAIN, RESUME, SET, UNSET = "suspend", "drain", "resume", "set", "unset"
-KINDS = (SUSPEND, DRAIN, RESUME, SET, UNSET)
+PERMIT, RETURN = "permit", "return"  # of a node or sidecar, as node:NAME
+KINDS = (SUSPEND, DRAIN, RESUME, SET, UNSET, PERMIT, RETURN)
+NEEDS_FACTS = (SUSPEND, DRAIN, RESUME, PERMIT, RETURN)  # what the leader adds to
+FORCE, WAIT = "force", "wait"  # a word's value
 MOST_ID, MOST_NAME, MOST_KEY, MOST_VALUE = 64, 256, 64, 512  # characters
 MOST_HELD = 2000  # upstreams held at a time
 MOST_SETTINGS = 200
@@ -37,8 +41,9 @@
     by: Annotated[str, Meta(max_length=MOST_ID)]  # the sidecar at whose door it was said
     at_ms: Whole  # by that one's wall clock; for people alone
     name: Annotated[str, Meta(max_length=MOST_NAME)] = ""  # an upstream, or a setting
-    born_ms: Whole = 0  # drain: of that start of it and no later one; 0 = not known, whatever the start
+    born_ms: Whole = 0  # drain: of that start of it and no later one; 0 = long ago
     value: Annotated[str, Meta(max_length=MOST_VALUE)] = ""
+    facts: permits.Facts | None = None  # the leader's
 
 
 class Held(msgspec.Struct, array_like=True, frozen=True):
@@ -60,6 +65,7 @@
     index: Whole
     content: bytes  # a digest of its kind, name and value
     error: str
+    text: str = ""
 
 
 class State(msgspec.Struct, array_like=True):
@@ -72,6 +78,7 @@
     said: dict[str, Once] = {}  # by id, the oldest first
     latest: list[tuple[int, Word]] = []
     unread: list[tuple[int, bytes]] = []
+    places: permits.Places = msgspec.field(default_factory=permits.Places)
 
 
 class WordError(ValueError):
@@ -79,10 +86,11 @@
 
 
 class Outcome(msgspec.Struct, frozen=True):
-    """What a word came to."""
+    """What a word came to. `text`: of one that was taken, what else is to be said."""
 
     index: int
     error: str = ""
+    text: str = ""
 
 
 read_word = msgspec.msgpack.Decoder(Word).decode
@@ -99,6 +107,16 @@
     return data
 
 
+def fitting(word: Word) -> bytes:
+    """As an entry's data; what does not fit of the facts becomes a number."""
+    data = encode(word)
+    while len(data) > MOST_DATA and word.facts is not None and word.facts.down:
+        facts = msgspec.structs.replace(word.facts, down=word.facts.down[:-1], more=word.facts.more + 1)
+        word = msgspec.structs.replace(word, facts=facts)
+        data = encode(word)
+    return data if len(data) <= MOST_DATA else encode(msgspec.structs.replace(word, facts=None))
+
+
 def check(word: Word) -> None:
     """Raises WordError."""
     for what, text, most in (("id", word.id, MOST_ID), ("name", word.name, MOST_NAME),
@@ -109,6 +127,12 @@
         raise WordError(f"expected one of {', '.join(KINDS)}")
     if not word.id or " " in word.id:
         raise WordError("expected an id without spaces")
+    if word.kind in (PERMIT, RETURN) and word.name.partition(":")[0] not in permits.WHAT:
+        raise WordError("expected node:NAME or sidecar:NAME")
+    if word.kind in (SUSPEND, DRAIN, PERMIT) and word.value not in ("", FORCE, WAIT):
+        raise WordError(f"expected {FORCE}, {WAIT} or nothing")
+    if word.kind == SET and (wrong := permits.check_budget(word.name, word.value)):
+        raise WordError(wrong)
     if not word.name or (word.kind in (SET, UNSET) and len(word.name) > MOST_KEY):
         raise WordError("expected a name")
 
@@ -164,36 +188,77 @@
     if before is not None:
         if before.content != content(word):
             return Outcome(before.index, "that id was used for another word")
-        return Outcome(before.index, before.error)
-    error = say(state, word, entry.index)
-    state.said[word.id] = Once(entry.index, content(word), error)
+        return Outcome(before.index, before.error, before.text)
+    error, text = say(state, word, entry.index)
+    state.said[word.id] = Once(entry.index, content(word), error, text)
     if len(state.said) > MOST_SAID:
         del state.said[next(iter(state.said))]
     if not error:
         state.latest.append((entry.index, word))
         del state.latest[:-LATEST]
-    return Outcome(entry.index, error)
+    return Outcome(entry.index, error, text)
 
 
-def say(state: State, word: Word, index: int) -> str:
-    """What is wrong with it; "" = it holds."""
+def say(state: State, word: Word, index: int) -> tuple[str, str]:
+    """What is wrong with it, "" = it holds; and what else is to be said."""
     if word.kind in (SUSPEND, DRAIN):
-        held = state.held.get(word.name)
-        if held is None and len(state.held) >= MOST_HELD:
-            return "too many are held"
-        if held is None or held.kind != SUSPEND:  # hazard: a drain ends by itself, a suspension must not
-            state.held[word.name] = Held(index, word.kind, word.born_ms if word.kind == DRAIN else 0)
-    elif word.kind == RESUME:
-        state.held.pop(word.name, None)
-    elif word.kind == SET:
+        return hold(state, word, index), ""
+    if word.kind == PERMIT:
+        return permit(state, word, index)
+    if word.kind in (RESUME, RETURN):
+        what, name = ("node", word.name) if word.kind == RESUME else word.name.split(":", 1)
+        if word.kind == RESUME:
+            state.held.pop(name, None)
+        elif permits.key_of(what, name) not in state.places.held and not any(
+                one.place.member.name == name for one in state.places.line):
+            return "it holds no place and waits for none", ""
+        elif what == "node" and name in state.held:
+            return "it is held out: resume it", ""
+        given = permits.give_back(state.places, limits(state), what, name, word.facts, state.held, index)
+        return "", f"places given to {', '.join(one.member.name for one in given)}" if given else ""
+    if word.kind == SET:
         if word.name not in state.settings and len(state.settings) >= MOST_SETTINGS:
-            return "too many settings"
+            return "too many settings", ""
         state.settings[word.name] = Setting(index, word.value)
     else:
         state.settings.pop(word.name, None)
+    return "", ""
+
+
+def limits(state: State) -> dict[str, str]:
+    """The budgets, and all other settings."""
+    return {name: one.value for name, one in state.settings.items()}
+
+
+def place(word: Word, what: str, name: str, index: int) -> permits.Place:
+    return permits.Place(index, what, permits.Member(name), word.by, word.id, word.born_ms, word.at_ms)
+
+
+def hold(state: State, word: Word, index: int) -> str:
+    """Nothing new is sent to an upstream: it takes a place, where there are budgets, unless it has one."""
+    held = state.held.get(word.name)
+    if held is None and len(state.held) >= MOST_HELD:
+        return "too many are held"
+    if permits.budgets(limits(state), "node") and held is None and (
+            permits.key_of("node", word.name) not in state.places.held):
+        why = permits.ask(state.places, limits(state), place(word, "node", word.name, index), word.facts,
+                          state.held, word.value == FORCE)
+        if why:
+            return why
+    if held is None or held.kind != SUSPEND:  # hazard: a drain ends by itself, a suspension must not
+        state.held[word.name] = Held(index, word.kind, word.born_ms if word.kind == DRAIN else 0)
     return ""
 
 
+def permit(state: State, word: Word, index: int) -> tuple[str, str]:
+    what, _, name = word.name.partition(":")
+    if not permits.budgets(limits(state), what):
+        return f"there is no budget of {what}s (set out.{what})", ""
+    why = permits.ask(state.places, limits(state), place(word, what, name, index), word.facts, state.held,
+                      word.value == FORCE, word.value == WAIT)
+    return ("", why) if why.startswith("queued") else (why, "")
+
+
 def shown(state: State) -> dict[str, Any]:
     """For people."""
     return {
@@ -203,6 +268,9 @@
         "settings": {name: {"value": one.value, "index": one.index}
                      for name, one in sorted(state.settings.items())},
         "unread": [index for index, _ in state.unread],
+        "places": [{"what": one.what, "name": one.member.name, "index": one.index, "by": one.by, "id": one.id,
+                    "at_ms": one.at_ms, "forced": one.forced} for one in state.places.held.values()],
+        "line": [one.place.member.name for one in state.places.line], "forced": state.places.forced,
     }
 
 
