A sidecar's PAUSE takes a place where sidecars have a budget; another life gives it back

Need: six of six sidecars were paused at once, each door saying done. Change: with out.sidecar set, PAUSE asks for the sidecar's place first and RESUME gives it back; a new process of it gives back what the old one held (each says by gossip which life it is); force is done, counted and told.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -160,7 +160,7 @@
             super().post(mind, one)
 
         def spread(self, mind: Any, here: Any) -> None:
-            """What a learner says is of use to voters alone, and a thousand times a thousand take too long."""
+            """What a learner says is of use to voters alone; a thousand times a thousand take too long."""
             Counted.said += 1
             for there in self.minds.values():
                 if there is not mind and (here.votes or there.name in ("m0", "m1", "m2", "m3")):
--- a/tests/agreement/test_permits.py
+++ b/tests/agreement/test_permits.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.agreement.rig import AGREES, all_hold, begin, fleet, leads, says, spoiled, told, until
+from tests.agreement.rig import AGREES, all_hold, begin, fleet, knows, leads, says, spoiled, told, until
 from tests.lab.playing import on_rig
 from wickspread.agreement import words
 from wickspread.agreement.messages import Entry
@@ -130,3 +130,39 @@
         return all([(await told(scene, number, "WORDS"))["settings"] for number in range(6)])
 
     await until(there)
+
+
+def test_six_sidecars_paused_at_once_and_one_that_comes_back() -> None:
+    """One is paused; it gives its place back as it resumes, or as another process; force is done and told."""
+    async def test(scene: Scene) -> None:
+        await begin(scene)
+        await says(scene, [0], "SET out.sidecar 1", "budget")
+        await all_six(scene)
+        doors = [scene.sidecars[number] for number in range(6)]
+        answers = await asyncio.gather(*[one.call("PAUSE") for one in doors])
+        paused = [number for number, answer in enumerate(answers) if answer == "done"]
+        assert len(paused) == 1, answers
+        assert all("not paused: 1 sidecars are out" in answer for number, answer in enumerate(answers)
+                   if number not in paused), answers
+        first, second, *_ = paused + [number for number in range(6) if number not in paused]
+        assert await doors[first].call("RESUME") == "done"
+
+        async def takes() -> bool:
+            return await doors[second].call("PAUSE") == "done"
+
+        await until(takes)
+        # its process ends, and the next one of it gives the place back
+        await doors[second].kill()
+        await doors[second].start()
+
+        async def free() -> bool:
+            return not (await told(scene, first, "WORDS"))["places"]
+
+        await until(free)
+        await until(lambda: knows(scene, first, 6))
+        assert await doors[first].call("PAUSE") == "done"
+        assert (await doors[second].call("PAUSE force")).startswith("done")
+        shown = await told(scene, second, "WORDS")
+        assert shown["forced"] == 1 and doors[first].name in shown["places"][1]["forced"]
+
+    on_rig(replace(AGREES, sidecars=6), test)
--- a/wickspread/agreement/frames.py
+++ b/wickspread/agreement/frames.py
@@ -111,6 +111,7 @@
     commit: Whole
     applied: Whole
     at_ms: Whole  # when that took effect here, by its wall clock
+    life: Annotated[str, Meta(max_length=16)] = ""  # of this process; another one has another
 
 
 Raft = VoteRequest | VoteReply | Append | AppendReply | TimeoutNow
--- a/wickspread/agreement/member.py
+++ b/wickspread/agreement/member.py
@@ -137,6 +137,7 @@
                  wall_ms: int, timing: Timing = TIMING) -> None:
         """Raises WordError for a snapshot that can't be read."""
         self.name, self.site = name, site
+        self.life = f"{dice.getrandbits(64):016x}"
         self.me = node_of(name, kept.incarnation)
         self.incarnation = kept.incarnation
         self.limits = limits
@@ -390,7 +391,8 @@
         core = self.core
         votes = self.me in core.voters
         here = Here(self.incarnation, self.state.fleet, core.term if votes else 0,
-                    core.leader if votes else "", 0, votes, core.commit, self.state.index, self.applied_ms)
+                    core.leader if votes else "", 0, votes, core.commit, self.state.index, self.applied_ms,
+                    self.life)
         self.unsaid = here != self.said
         if not self.unsaid or now_us < self.say_us:
             return
@@ -398,8 +400,7 @@
         self.said = here
         self.say_us = now_us + (SAY_VOTER_US if votes else SAY_LEARNER_US)
         since_ms = max(0, now_us - self.leader_us) // 1000
-        self.out.append(Tell(Here(here.incarnation, here.fleet, here.term, here.leader, since_ms, votes,
-                                  here.commit, here.applied, here.at_ms)))
+        self.out.append(Tell(msgspec.structs.replace(here, since_ms=since_ms)))
 
     # Who leads
 
--- a/wickspread/agreement/start.py
+++ b/wickspread/agreement/start.py
@@ -7,14 +7,15 @@
 import json
 import logging
 import random
-from collections.abc import Callable
+import secrets
+from collections.abc import Awaitable, Callable
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
 from typing import Any
 
-from wickspread.agreement import frames, words
-from wickspread.agreement.asking import Answered
+from wickspread.agreement import frames, permits, words
+from wickspread.agreement.asking import ERROR, Answered
 from wickspread.agreement.core import Refused
 from wickspread.agreement.disk import of_this_process
 from wickspread.agreement.frames import Frame
@@ -30,7 +31,7 @@
 from wickspread.engine.engine import Engine
 from wickspread.gossip.instance import Word
 from wickspread.gossip.start import Gossiping
-from wickspread.operations.door import CallError, Door
+from wickspread.operations.door import Call, CallError, Door
 from wickspread.operations.holding import ALWAYS, Holding
 from wickspread.operator.error import OperatorError
 from wickspread.operator.schema import Agreement
@@ -51,13 +52,14 @@
     """A sidecar that takes part."""
 
     def __init__(self, told: Agreement, engine: Engine, directory: Directory, gossip: Gossiping,
-                 seed: int, holding: Holding, door: Door | None) -> None:
+                 seed: int, holding: Holding, door: Door | None, serving: Callable[[], bool]) -> None:
         """Raises OperatorError for a folder that can't be used."""
         self.told = told
         self.engine = engine
         self.directory = directory
         self.gossip = gossip
         self.holding = holding
+        self.serving = serving  # clients are taken
         self.limits = Limits(told.voters, told.votes, int(told.replace_s * 1e6), told.kib_per_s * 1024.0,
                              told.compact)
         self.store = Store(Path(told.folder), of_this_process())
@@ -76,13 +78,16 @@
             self.member = self.opened(seed)
         except OSError as error:
             raise OperatorError(f"agreement.folder: {error}") from error
-        self.witness = Witness(engine, directory, gossip)
+        self.witness = Witness(engine, directory, gossip, self.member)
         self.member.witness = self.witness.facts
         clock = engine.clock
         self.links = Links(gossip.keyring, self.member.me, clock.now_us, self.address, self.local,
                            self.received, self.unsent, self.broken)
         if door is not None:
             door.calls["FLEET"] = self.call
+            for word, gives in (("PAUSE", False), ("RESUME", True)):
+                if word in door.calls:
+                    door.calls[word] = partial(self.as_one, door.calls[word], gives)
 
     def opened(self, seed: int) -> Member:
         """Raises OSError."""
@@ -180,6 +185,9 @@
 
     def look(self) -> None:
         self.links.look()
+        own = self.witness.own(self.member.state) if self.serving() else None
+        if own is not None and not self.member.asks.open:
+            self.step(partial(self.member.say, NOBODY, own, self.engine.clock.now_us()))
         if self.member.core.leads and not self.member.asks.open:
             for word in self.witness.back(self.member.state):
                 self.step(partial(self.member.say, NOBODY, word, self.engine.clock.now_us()))
@@ -288,6 +296,36 @@
         said = words.Word(SAYS[word], ident, self.member.name, wall_ms(), name, born_ms, value)
         return await self.answered(lambda context: self.member.say(context, said, now_us))
 
+    def as_one(self, does: Call, gives: bool, argument: str) -> str | Awaitable[str]:
+        """PAUSE and RESUME of this sidecar: where sidecars have a budget, it takes a place first, and gives
+        it back after. `force` is done in any case."""
+        if self.closed or not permits.budgets(words.limits(self.member.state), "sidecar"):
+            return does("")
+        return self.resumed(does) if gives else self.paused(does, argument)
+
+    async def paused(self, does: Call, argument: str) -> str:
+        answer = await self.place(words.PERMIT, argument)
+        if not answer.startswith("done") and argument != words.FORCE:
+            raise CallError(f"not paused: {answer}")
+        assert isinstance(done := does(""), str)
+        return done if answer.startswith("done") else f"{done}, by force; {answer}"
+
+    async def resumed(self, does: Call) -> str:
+        assert isinstance(done := does(""), str)
+        answer = await self.place(words.RETURN, "")
+        return done if answer.startswith("done") else f"{done}; its place: {answer}"
+
+    async def place(self, kind: str, value: str) -> str:
+        """Of this sidecar itself."""
+        value = value if value == words.FORCE else ""
+        said = words.Word(kind, f"{kind}-{secrets.token_hex(6)}", self.member.name, wall_ms(),
+                          f"sidecar:{self.member.name}", 0, value)
+        try:
+            return await self.answered(
+                lambda context: self.member.say(context, said, self.engine.clock.now_us()))
+        except CallError as error:
+            return str(error)
+
     def known(self, name: str) -> int:
         """Its start as it is listed here, in Unix ms; 0 = long ago. Raises CallError for one that is not."""
         host = self.witness.host(name)
@@ -306,6 +344,8 @@
             raise CallError(str(error)) from error
         finally:
             self.contexts.pop(context, None)
+        if told.what == ERROR:
+            raise CallError(told.text)
         text = f": {told.text}" if told.text else ""
         return f"{told.what}{f' {told.index}' if told.index else ''}{text}"
 
--- a/wickspread/agreement/witness.py
+++ b/wickspread/agreement/witness.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterator
 
 from wickspread.agreement import words
-from wickspread.agreement.permits import MOST_TOLD, SCOPES, Facts, Member
+from wickspread.agreement.member import Member as Agreed
+from wickspread.agreement.permits import MOST_TOLD, SCOPES, Facts, Member, key_of
 from wickspread.agreement.words import State, Word
 from wickspread.decisions.interface import UpstreamState
 from wickspread.engine.engine import Engine
@@ -18,7 +19,8 @@
 
 
 class Witness:
-    def __init__(self, engine: Engine, directory: Directory, gossip: Gossiping) -> None:
+    def __init__(self, engine: Engine, directory: Directory, gossip: Gossiping, agreed: Agreed) -> None:
+        self.agreed = agreed
         self.engine = engine
         self.directory = directory
         self.gossip = gossip
@@ -50,14 +52,25 @@
                        told.state is not UpstreamState.READY or weights.get(name, 0.0) >= BAD)
 
     def sidecars(self) -> Iterator[tuple[Member, bool]]:
+        """Each that is there, and whether gossip holds it for dead. In a cell's place is its process: a place
+        of one that is no more is given back."""
         assert self.gossip.transport is not None
         core = self.gossip.transport.instance.core
-        yield Member(core.name, core.site), False
+        yield Member(core.name, core.site, "", self.agreed.life), False
         for peer in core.peers.living():
-            yield Member(peer.name, peer.site), False
+            told = self.agreed.peers.get(peer.name)
+            yield Member(peer.name, peer.site, "", told.here.life if told else ""), False
         for peer in core.peers.dead():
             yield Member(peer.name, peer.site), True
 
+    def own(self, state: State) -> Word | None:
+        """The word that gives this sidecar's own place back, where another process of it took it: this one is
+        what it has come back as."""
+        place = state.places.held.get(key_of("sidecar", self.agreed.name))
+        if place is None or not place.member.cell or place.member.cell == self.agreed.life:
+            return None
+        return Word(words.RETURN, f"back-{place.index}", self.agreed.name, 0, f"sidecar:{self.agreed.name}")
+
     def back(self, state: State) -> Iterator[Word]:
         """Words that give places back: of nodes that are listed as ready with a later start than the one that
         went out."""
--- a/wickspread/daemon/subsystems.py
+++ b/wickspread/daemon/subsystems.py
@@ -103,7 +103,8 @@
         raise OperatorError("agreement.folder: needs gossip; gossip.bind names no address")
     assert context.holding is not None
     agreeing = Agreeing(context.operator.agreement, context.engine, context.directory, gossip,
-                        context.config.seed, context.holding, context.door)
+                        context.config.seed, context.holding, context.door,
+                        lambda: context.server.ready)
     agreeing.start()
     return agreeing
 
