--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -1,12 +1,13 @@
 """What agreed state costs and how soon it is there again.
 
-    python -m benchmarks.agreement [losses virtual words rest served store] [--count 100]
+    python -m benchmarks.agreement [losses virtual words rest learners served store] [--count 100]
 
 `losses`: real sidecars, the leader killed, time until the others name another one, and until a word is done;
 `virtual`: the same in virtual time. `words`: one after the other at the leader's door, beside one write and
 sync of this disk and one exchange with a door, taken in turns. `rest`: bytes and CPU with nothing said, 10
-learners in processes, 1,000 in virtual time. `served`: requests, the leader killed each ten seconds, and the
-same sidecars killed with the part off. `store`: one save by the store and by sqlite3, in turns.
+learners in processes, 1,000 in virtual time. `learners`: 50 of them in processes, ten behind slow links;
+and 1,000 words while one fetches a snapshot by a narrow one. `served`: requests, the leader killed each ten
+seconds, and the same sidecars killed with the part off. `store`: one save by the store and by sqlite3.
 """
 
 from __future__ import annotations
@@ -24,7 +25,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.agreement.rig import AGREES, begin, fleet, leads, says, told
+from tests.agreement.rig import AGREES, begin, fleet, leads, says, spoiled, told
 from wickspread.agreement.frames import encode
 from wickspread.agreement.member import Post
 from wickspread.agreement.messages import Entry, HardState
@@ -196,6 +197,50 @@
     return Word("set", "bench", "bench", 0, "a", 0, "b")
 
 
+# Learners
+
+async def learners(scene: Scene, count: int) -> None:
+    """A fifth of them behind links of half a second; words at doors in turn, and how long until each is in
+    effect at all."""
+    await begin(scene)
+    slow = list(range(len(scene.sidecars) - (len(scene.sidecars) - 3) // 5, len(scene.sidecars)))
+    times: dict[str, list[float]] = {"all": [], "quick": []}
+    with spoiled(scene, "link_slow", slow, 0.5):
+        for number in range(count):
+            index = await says(scene, [number % 3], f"SET l {number}", f"l-{number}")
+            start = time.monotonic()
+            left = set(range(len(scene.sidecars)))
+            while left:
+                there = [(one, (await told(scene, one, "STATUS"))["applied"]) for one in sorted(left)]
+                left -= {one for one, applied in there if applied >= index}
+                if not left - set(slow) and len(times["quick"]) <= number:
+                    times["quick"].append(time.monotonic() - start)
+            times["all"].append(time.monotonic() - start)
+    print(f"{len(scene.sidecars) - 3} learners, {len(slow)} of them slow: a word in effect at the others: "
+          f"{spread(times['quick'])}; at all: {spread(times['all'])}", flush=True)
+
+
+async def narrow(scene: Scene, count: int) -> None:
+    """A learner that knows nothing comes by a link of 4 kB a second, while words are said."""
+    leader = await begin(scene)
+    late = [one for one in range(4) if (await told(scene, one, "STATUS"))["role"] == "learner"][0]
+    await scene.sidecars[late].kill()
+    scene.sidecars[late].wipe()
+    for number in range(count // 2):
+        await says(scene, [leader], f"SET n-{number % 150} {'v' * 200}", f"n-{number}")
+    with spoiled(scene, "link_narrow", [late], 4000.0):
+        await scene.sidecars[late].start()
+        start = time.monotonic()
+        for number in range(count):
+            await says(scene, [leader], f"SET n-{number % 150} {'w' * 200}", f"m-{number}")
+        said_s = time.monotonic() - start
+        goal = (await told(scene, leader, "STATUS"))["applied"]
+        while (await told(scene, late, "STATUS"))["applied"] < goal:
+            await asyncio.sleep(0.1)
+    print(f"{count} words in {said_s:.1f} s while a snapshot goes out at 4 kB a second; it is up to date "
+          f"after {time.monotonic() - start:.1f} s", flush=True)
+
+
 # Requests
 
 async def served(scene: Scene, order: list[int], choose: bool) -> float:
@@ -256,7 +301,8 @@
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__,
                                      formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", nargs="*", default=["virtual", "words", "rest", "served", "store", "losses"])
+    parser.add_argument("what", nargs="*", default=[
+        "virtual", "words", "rest", "learners", "served", "store", "losses"])
     parser.add_argument("--count", type=int, default=100)
     parser.add_argument("--voters", type=int, nargs="*", default=[3, 5])
     parser.add_argument("--learners", type=int, default=1000)
@@ -275,6 +321,9 @@
         print(f"  CPU beside gossip's: {max(more):.2f}% of a core at the busiest, "
               f"{statistics.mean(more):.2f}% on average ({statistics.mean(off_cpu) * 100:.2f}% without)")
         virtual_rest(asked.learners)
+    if "learners" in asked.what:
+        asyncio.run(on(plan(3, 53), partial(learners, count=20)))
+        asyncio.run(on(plan(3, 4), partial(narrow, count=1000)))
     if "served" in asked.what:
         asyncio.run(both())
     if "losses" in asked.what:
