One framing and one bounded reading for gossip and agreed state; dead state goes

Need: read once more: lengths before frames and the reading of bytes from outside stood twice (gossip's are called now); STATUS's walk was made for one number by LOG and WORDS; leads_us and World.applied were kept for nothing; Holding was made for operator files that ask for none.

--- a/wickspread/agreement/frames.py
+++ b/wickspread/agreement/frames.py
@@ -23,6 +23,7 @@
     Voters,
     Whole,
 )
+from wickspread.gossip import codec
 
 MOST_FRAME = 128 * 1024  # bytes
 MOST_PIECE = 16 * 1024
@@ -128,10 +129,7 @@
 
 def read(data: bytes, source: Node, target: Node) -> Frame:
     """One that came from `source`, who has shown to be that one. Raises FrameError."""
-    try:
-        frame = frame_decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
-        raise FrameError(" ".join(str(error).split())[:100]) from error
+    frame = decoded(frame_decoder, data)
     if isinstance(frame, Message | Offer) and (frame.source != source or frame.target != target):
         raise FrameError("in another's name, or to another")
     if isinstance(frame, Append) and any(one.index != frame.prev_index + 1 + n or one.term > frame.term
@@ -141,8 +139,13 @@
 
 
 def read_here(data: bytes) -> Here:
+    """Raises FrameError."""
+    return decoded(here_decoder, data)
+
+
+def decoded(decoder: msgspec.msgpack.Decoder[codec.Form], data: bytes) -> codec.Form:
     """Raises FrameError."""
     try:
-        return here_decoder.decode(data)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
-        raise FrameError(" ".join(str(error).split())[:100]) from error
+        return codec.read(decoder, data)
+    except codec.CodecError as error:
+        raise FrameError(str(error)) from error
--- a/wickspread/agreement/member.py
+++ b/wickspread/agreement/member.py
@@ -161,7 +161,7 @@
         self.reading: dict[int, tuple[Node, Ask]] = {}  # by the core's context
         self.reads = 0
         self.heard_us: dict[Node, int] = {}
-        self.leads_us = 0  # since when this one leads; 0 = it does not
+        self.led = False  # at the last tick this one led
         self.leader: Node = ""
         self.leader_us = now_us  # since when it is that one, or none
         self.fresh_us = 0  # when all that was committed was here; 0 = never known
@@ -419,15 +419,15 @@
         if core.leads:
             heard = sorted((now_us if node == self.me else self.heard_us.get(node, 0)
                             for node in core.voters), reverse=True)
-            if self.leads_us:
+            if self.led:
                 self.fresh_us = max(self.fresh_us, heard[core.majority() - 1])
             else:
-                self.leads_us, self.barrier = now_us, 0
+                self.led, self.barrier = True, 0
                 self.trying = ""
                 self.core.learners.clear()
                 self.heard_us.update(dict.fromkeys(core.voters, now_us))
-        elif self.leads_us:
-            self.leads_us = 0
+        elif self.led:
+            self.led = False
             self.give_up_waiting()
         if leader != self.leader:
             self.leader, self.leader_us = leader, now_us
@@ -618,6 +618,10 @@
 
     # For people
 
+    def age_s(self, now_us: int) -> float | None:
+        """Since when all that was committed was here; None: never, as far as is known."""
+        return round((now_us - self.fresh_us) / 1e6, 1) if self.fresh_us else None
+
     def described(self, now_us: int) -> dict[str, Any]:
         core = self.core
         votes = self.me in core.voters
@@ -634,7 +638,7 @@
             "leader": self.leader, "leader_since_s": round(since_us / 1e6, 1) if self.leader else None,
             "leaderless_s": round(self.leaderless_us(now_us) / 1e6, 1),
             "voters": sorted(core.voters), "commit": core.commit, "applied": self.state.index,
-            "age_s": round((now_us - self.fresh_us) / 1e6, 1) if self.fresh_us else None,
+            "age_s": self.age_s(now_us),
             "writing": self.writing is not None,
             "sidecars": [{"name": name_of(node), "node": node, "votes": node in core.voters, "applied": index,
                           "behind": max(0, newest - index)} for node, index in sorted(applied.items())],
--- a/wickspread/agreement/session.py
+++ b/wickspread/agreement/session.py
@@ -21,11 +21,11 @@
 from wickspread.agreement.messages import MOST_NODE, Node
 from wickspread.agreement.voters import name_of
 from wickspread.gossip.codec import SIGNATURE, Certificate
-from wickspread.gossip.keys import Keyring, Refused
+from wickspread.gossip.keys import Keyring, Refused, read
+from wickspread.gossip.transport import framed
 
 MAGIC = b"wsa\x01"  # the first bytes of a connection; no length that gossip would take
 MOST_GREETING = 1024
-LENGTH = 4
 OVERHEAD = 16  # of a sealed frame
 MOST_SEALED = MOST_FRAME + OVERHEAD
 Key = Annotated[bytes, Meta(min_length=32, max_length=32)]
@@ -66,10 +66,7 @@
         if not SIGNATURE < len(data) <= MOST_GREETING:
             raise Refused("not of this version")
         signature, payload = data[:SIGNATURE], data[SIGNATURE:]
-        try:
-            told = decoder.decode(payload)
-        except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
-            raise Refused("malformed") from error
+        told = read(decoder, payload)
         if name_of(told.node) != told.certificate.name:
             raise Refused("of another name")
         if told.node == self.node:
@@ -93,7 +90,7 @@
         assert self.box is not None
         self.sent += 1
         sealed = self.box.encrypt(frame, self.nonce(self.caller, self.sent)).ciphertext
-        return len(sealed).to_bytes(LENGTH, "big") + sealed
+        return framed(sealed)
 
     def open(self, sealed: bytes) -> bytes:
         """Raises Refused."""
--- a/wickspread/agreement/start.py
+++ b/wickspread/agreement/start.py
@@ -268,9 +268,9 @@
         if word == "STATUS":
             return shown({**self.member.described(now_us), "counts": dict(self.links.counts)})
         if word == "LOG":
-            return shown({"age_s": self.member.described(now_us)["age_s"], "words": self.member.log()})
+            return shown({"age_s": self.member.age_s(now_us), "words": self.member.log()})
         if word == "WORDS":
-            return shown({"age_s": self.member.described(now_us)["age_s"], **words.shown(self.member.state)})
+            return shown({"age_s": self.member.age_s(now_us), **words.shown(self.member.state)})
         if word == "BEGIN":
             try:
                 self.perform(self.member.begin(now_us))
--- a/wickspread/agreement/transport.py
+++ b/wickspread/agreement/transport.py
@@ -17,9 +17,9 @@
 from wickspread.agreement import frames
 from wickspread.agreement.frames import Answer, Ask, Batch, Frame, Later, Piece, Want
 from wickspread.agreement.messages import Node
-from wickspread.agreement.session import LENGTH, MAGIC, MOST_GREETING, MOST_SEALED, Session
+from wickspread.agreement.session import MAGIC, MOST_GREETING, MOST_SEALED, Session
 from wickspread.gossip.keys import Keyring, Refused
-from wickspread.gossip.transport import wall_us
+from wickspread.gossip.transport import HEAD, framed, receive, wall_us
 
 log = logging.getLogger("wickspread")
 
@@ -68,7 +68,7 @@
                 reader, writer = await asyncio.open_connection(*address, local_addr=links.local())
                 session = Session(links.keyring, links.me)
                 writer.write(MAGIC + framed(session.greeting()))
-                data = await received(reader, MOST_GREETING)
+                data = await receive(reader, MOST_GREETING)
                 session.greeted(data, links.now_us(), wall_us())
                 if session.peer != self.node:
                     raise Refused("another node by now")
@@ -178,12 +178,12 @@
         self.taken[""] += 1  # while it has not said who it is
         try:
             async with asyncio.timeout(GREET_S):
-                key = session.greeted(await received(reader, MOST_GREETING), self.now_us(), wall_us())
+                key = session.greeted(await receive(reader, MOST_GREETING), self.now_us(), wall_us())
                 if self.taken[session.peer] >= MOST_OF_ONE:
                     raise Refused("too many connections of one")
                 writer.write(framed(session.greeting(key)))
                 await writer.drain()
-                first = session.open(await received(reader, MOST_SEALED))
+                first = session.open(await receive(reader, MOST_SEALED))
             peer = session.peer
             self.taken[peer] += 1
             self.sessions[session] = writer
@@ -209,8 +209,8 @@
         """Frames of one connection, until it ends. `writer`: it is another's, so questions come by it."""
         while not self.closed:
             if first is None:
-                sealed = await received(reader, MOST_SEALED)
-                self.counts["bytes in"] += len(sealed) + LENGTH
+                sealed = await receive(reader, MOST_SEALED)
+                self.counts["bytes in"] += len(sealed) + HEAD
                 first = session.open(sealed)
             try:
                 frame = frames.read(first, session.peer, self.me)
@@ -264,15 +264,3 @@
     """Bytes, nearly."""
     entries = getattr(frame, "entries", ())
     return 128 + sum(len(one.data) + 32 for one in entries) + len(getattr(frame, "word", b""))
-
-
-def framed(data: bytes) -> bytes:
-    return len(data).to_bytes(LENGTH, "big") + data
-
-
-async def received(reader: asyncio.StreamReader, most: int) -> bytes:
-    """Raises ValueError for more than is allowed."""
-    size = int.from_bytes(await reader.readexactly(LENGTH), "big")
-    if size > most:
-        raise ValueError("too large")
-    return await reader.readexactly(size)
--- a/wickspread/agreement/words.py
+++ b/wickspread/agreement/words.py
@@ -16,6 +16,7 @@
 
 from wickspread.agreement import permits
 from wickspread.agreement.messages import MOST_DATA, MOST_SNAPSHOT, Entry
+from wickspread.gossip import codec
 
 SUSPEND, DRAIN, RESUME, SET, UNSET = "suspend", "drain", "resume", "set", "unset"
 PERMIT, RETURN = "permit", "return"  # of a node or sidecar, as node:NAME
@@ -93,8 +94,8 @@
     text: str = ""
 
 
-read_word = msgspec.msgpack.Decoder(Word).decode
-read_state = msgspec.msgpack.Decoder(State).decode
+word_decoder = msgspec.msgpack.Decoder(Word)
+state_decoder = msgspec.msgpack.Decoder(State)
 encode = msgspec.msgpack.Encoder(order=None).encode
 
 
@@ -140,8 +141,8 @@
 def decode(data: bytes) -> Word | None:
     """None: of another version."""
     try:
-        word = read_word(data)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError):
+        word = codec.read(word_decoder, data)
+    except codec.CodecError:
         return None
     return word if word.kind in KINDS else None
 
@@ -156,9 +157,9 @@
     if not data:
         return State()
     try:
-        return read_state(data)
-    except (msgspec.DecodeError, msgspec.ValidationError, UnicodeDecodeError, RecursionError) as error:
-        raise WordError(f"a snapshot that can't be read: {' '.join(str(error).split())[:80]}") from error
+        return codec.read(state_decoder, data)
+    except codec.CodecError as error:
+        raise WordError(f"a snapshot that can't be read: {error}") from error
 
 
 def kept(state: State) -> bytes:
--- a/wickspread/checking/fleets.py
+++ b/wickspread/checking/fleets.py
@@ -22,7 +22,7 @@
 from wickspread.agreement.frames import Here
 from wickspread.agreement.log import Kept, Log
 from wickspread.agreement.member import Limits, Member, Output, Post, Tell, Write, node_of
-from wickspread.agreement.messages import Entry, HardState
+from wickspread.agreement.messages import HardState
 from wickspread.agreement.voters import name_of
 from wickspread.checking.history import Logged, Said, judge
 
@@ -68,7 +68,6 @@
         self.asked: dict[tuple[str, int, int], Said] = {}
         self.ids: list[tuple[str, str, str]] = []
         self.contexts = 0
-        self.applied: dict[int, Entry] = {}
         self.found: list[str] = []
         self.story: list[str] = []
         self.minds = {}
@@ -377,7 +376,6 @@
             self.run(self.dice.expovariate(0.5))
             self.fault()
         self.run(9.5)  # all that is broken mends by itself
-        self.dice.random()
         self.run(CALM_S)
         for one in self.asked.values():
             self.history.append(one)
--- a/wickspread/daemon/__main__.py
+++ b/wickspread/daemon/__main__.py
@@ -61,7 +61,8 @@
     discovery.sink = engine
     server = Server(engine, share, Spool(spool_bytes(config.memory_mb)))
     hand, door = None, None
-    holding = Holding(engine, directory) if handover is not None or operator is not None else None
+    holding = Holding(engine, directory) if handover is not None or (
+        operator is not None and operator.agreement.folder) else None
     if handover is not None and holding is not None:
         hand = Hand(engine, directory, server, handover, holding)
     if config.door is not None and hand is not None:
--- a/wickspread/gossip/transport.py
+++ b/wickspread/gossip/transport.py
@@ -113,7 +113,7 @@
             async with asyncio.timeout(EXCHANGE_S):
                 if first:
                     await send(writer, self.instance.state(wall_us()))
-                data = await receive(reader, head)
+                data = await receive(reader, MOST_STATE, head)
                 self.instance.counts["bytes in"] += len(data)
                 told = self.instance.opened(data, self.now_us(), wall_us())
                 if not first:
@@ -183,14 +183,19 @@
 
 
 async def send(writer: asyncio.StreamWriter, data: bytes) -> None:
-    writer.write(len(data).to_bytes(4, "big") + data)
+    writer.write(framed(data))
     await writer.drain()
 
 
-async def receive(reader: asyncio.StreamReader, head: bytes = b"") -> bytes:
-    """`head`: what was read of it. Raises ValueError for more than is allowed."""
+def framed(data: bytes) -> bytes:
+    """With its length before it."""
+    return len(data).to_bytes(HEAD, "big") + data
+
+
+async def receive(reader: asyncio.StreamReader, most: int, head: bytes = b"") -> bytes:
+    """`most`: bytes. `head`: what was read of it. Raises ValueError for more than is allowed."""
     size = int.from_bytes(head or await reader.readexactly(HEAD), "big")
-    if size > MOST_STATE:
+    if size > most:
         raise ValueError("too large")
     return await reader.readexactly(size)
 
