What a watch has told is heeded whatever ends it; lists may come indented

Cause: Call.lines took an object to be one line, so an indented list failed each watch (roster/ discovery.py, lines). Behind a large list, which is read in steps, further lines waited for the loop's next turn; Call.fail and Call.close dropped them (tell, take: call.over), and move and subscribe dropped what the kernel had for the watch they replaced. All of it counts as told, and while discovery is down nobody tells it again. Change: a stream is cut into objects by a pure splitter that looks at each byte once; what has come is handed on before a call's failure, which waits behind it; a call that is replaced is read out first; versions of an address that was left are no other's.

--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -183,7 +183,7 @@
         bad = [entry(n, health="?" if n == 9_000 else "in_service") for n in range(MANY)]
         call = Call(one, b"?stream=1&index=5")
         one.watch = call
-        call.text = bytearray(text(bad, 6).encode() + b"\n")
+        call.objects.put(text(bad, 6).encode() + b"\n")
         call.lines()
         await settled(one)
         assert sink.failures == 1 and len(sink.events) == before and len(sink.hosts) == 300
--- a/wickspread/roster/discovery.py
+++ b/wickspread/roster/discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import os
 import sys
 from collections import deque
 from collections.abc import Iterable, Iterator
@@ -16,7 +18,7 @@
 from wickspread.engine.collector import Collector
 from wickspread.engine.seams import Host, Sink
 from wickspread.http1.upstream import MAX_HEAD
-from wickspread.roster.listing import SLICE, Directory, ListError, Reading, changes
+from wickspread.roster.listing import SLICE, Directory, ListError, Objects, Reading, changes
 
 log = logging.getLogger("wickspread")
 
@@ -24,6 +26,7 @@
 # Two heartbeats of 2 s and a little. Hazard: what a dead watch does not tell counts as told after 6 s.
 SILENCE_S = 4.5
 MAX_LINE = 4 * 1024 * 1024
+MOST_READ = 256 * 1024
 STEP_S = 0.003  # a large list holds the loop for about so long before others have their turn
 RETRY_S = 0.25  # where lists are pushed, the agent is on this machine and costs nothing to ask
 
@@ -41,8 +44,11 @@
         self.wanted = pushed  # a watch is asked for
         self.closed = False
         self.calls: set[Call] = set()
-        self.jobs: deque[tuple[Call | None, bytes]] = deque()  # what was told and is not read yet
-        self.job: tuple[Call | None, bytes] = None, b""
+        self.era = 0  # counts the addresses
+        self.retry: asyncio.TimerHandle | None = None
+        # what was told and is not read yet; None in place of a text: the call has failed
+        self.jobs: deque[tuple[Call | None, bytes | None]] = deque()
+        self.job: tuple[Call | None, bytes | None] = None, b""
         self.steps: Iterator[None] | None = None  # of the one that is being read
         self.working = False
         self.collector: Collector | None = None
@@ -57,19 +63,23 @@
         if self.closed or address == self.address:
             return
         # hazard: versions are the old one's own; by them the new one might leave out what we don't know
-        self.address, self.version = address, 0
         fetches = [call for call in self.calls if not call.watching]
         for call in list(self.calls):
-            call.close()
+            call.end()
         self.watch = None
+        self.address, self.version = address, 0
+        self.era += 1
         self.subscribe(self.wanted)
         for _ in fetches:
             self.fetch()
 
     def subscribe(self, active: bool) -> None:
         self.wanted = active
+        if self.retry is not None:
+            self.retry.cancel()
+            self.retry = None
         if self.watch is not None:
-            self.watch.close()  # the new call gives the answer
+            self.watch.end()  # the new call gives the answer
             self.watch = None
         if active:
             self.watch = Call(self, b"?stream=1&index=%d" % self.version)
@@ -77,9 +87,10 @@
     def fetch(self) -> None:
         Call(self, b"")
 
-    def told(self, text: bytes, call: Call | None = None) -> None:
+    def told(self, text: bytes | None, call: Call | None = None) -> None:
         """One JSON object of discovery's, or an empty line that only says the watch is alive. What is told
-        while a large list is being read waits behind it, so that the order stays."""
+        while a large list is being read waits behind it, so that the order stays: the call's failure too.
+        Hazard: what was told counts, whatever becomes of the call that told it."""
         self.jobs.append((call, text))
         if not self.working:
             self.work()
@@ -120,11 +131,13 @@
         if self.collector is not None and self.sink is not None:
             self.collector.resume(len(self.sink.known()))
 
-    def take(self, call: Call | None, text: bytes) -> Iterator[None]:
+    def take(self, call: Call | None, text: bytes | None) -> Iterator[None]:
         """Read one object whole, then tell what it says: nothing is told of a bad one."""
         hosts: list[Host] = []
         version, whole = self.version, False
-        if call is not None and call.over:
+        if text is None:
+            assert call is not None
+            self.failed(call)
             return
         if text:
             try:
@@ -135,15 +148,14 @@
             version, whole, hosts = reading.version, reading.whole, reading.hosts
             # hazard: a fetch may be answered with what was so before the watch told more; its drains would
             # be forgotten. A new watch that begins with less has been begun anew by discovery itself.
-            if version < self.version and not (whole and call is not None and call.fresh):
+            elsewhere = call is not None and call.era != self.era
+            if version < self.version and not elsewhere and not (whole and call is not None and call.fresh):
                 self.complain(f"what is told of version {version} is older than {self.version}: passed over")
                 version, whole, hosts = self.version, False, []
         if call is not None:
-            if call.over:
-                return  # moved elsewhere meanwhile
             call.fresh = False
         if self.sink is None:
-            self.version = version
+            self.learn(call, version)
             return
         known = self.sink.known()
         if max(len(hosts), len(known) if whole else 0) <= SLICE:
@@ -156,12 +168,16 @@
                     self.forget([host.entry.id for host in part])
                 yield
             self.sink.list_changed(api.ListKind.DELTA, [], version)
-            if call is None or not call.over:  # else it is told again, or discovery is elsewhere now
-                self.version = version
+            self.learn(call, version)
             return
-        self.version = version
+        self.learn(call, version)
         self.forget(list(self.directory.names) if whole else [host.entry.id for host in hosts])
 
+    def learn(self, call: Call | None, version: int) -> None:
+        """Hazard: versions of an address that was left are no other's."""
+        if call is None or call.era == self.era:
+            self.version = version
+
     def forget(self, numbers: Iterable[int]) -> None:
         """Names of those that are gone go once nothing is out to them."""
         assert self.sink is not None
@@ -181,36 +197,44 @@
             log.warning("discovery: %s", text)
 
     def failed(self, call: Call) -> None:
-        if call is self.watch:
+        current = call is self.watch
+        if current:
             self.watch = None
-        if self.pushed:
-            self.loop.call_later(RETRY_S, self.subscribe, True)
-        elif self.sink is not None:
-            self.sink.list_failed()
+        if not self.pushed:
+            if self.sink is not None:
+                self.sink.list_failed()
+        elif current and self.retry is None and not self.closed:
+            self.retry = self.loop.call_later(RETRY_S, self.subscribe, True)
 
     def close(self) -> None:
         self.closed = True
+        if self.retry is not None:
+            self.retry.cancel()
         for call in list(self.calls):
             call.close()
 
 
 class Call(asyncio.Protocol):
-    """One call: a watch, read line by line as it comes, or a fetch of the whole list."""
+    """One call: a watch, read object by object as it comes, or a fetch of the whole list."""
 
     def __init__(self, owner: Discovery, query: bytes) -> None:
         self.owner = owner
         self.query = query
+        self.era = owner.era
         self.watching = bool(query)
+        self.agent = owner.pushed and self.watching
         self.answered = self.over = False
         self.fresh = self.watching  # a watch that has told nothing yet
         self.waiting = False  # what it has told is not read yet
         self.ended = False  # a fetch is whole
+        self.wanted = True
         self.transport: asyncio.Transport | None = None
-        self.text = bytearray()
+        self.objects = Objects()
         self.head = MAX_HEAD  # bytes that it may still take
         self.parser = httptools.HttpResponseParser(self)
-        self.silence = owner.loop.call_later(SILENCE_S, self.fail, "silence")
+        self.silence: asyncio.TimerHandle | None = None
         owner.calls.add(self)
+        self.listen()
         self.task = owner.loop.create_task(self.connect())
 
     async def connect(self) -> None:
@@ -231,6 +255,10 @@
         if self.over:
             return
         self.listen()
+        self.feed(data)
+        self.lines()
+
+    def feed(self, data: bytes) -> None:
         self.head -= len(data)
         try:
             self.parser.feed_data(data)
@@ -245,25 +273,32 @@
             self.fail(f"status {self.parser.get_status_code()}")
 
     def on_body(self, body: bytes) -> None:
-        if self.over:
-            return
-        self.text += body
-        if len(self.text) > MAX_LINE:
-            self.fail("a line too long")
-        self.lines()
+        if not self.over:
+            self.objects.put(body)
+            if len(self.objects) > MAX_LINE:
+                self.fail("a line too long")
+
+    def next(self) -> bytes | None:
+        """The next object that a watch has told whole, or an empty line that is its first word."""
+        while self.watching:
+            found = self.objects.next()
+            if found is None or found or not self.answered:
+                return found
+        return None
 
     def lines(self) -> None:
-        # hazard: chunks and lines need not end together
-        while self.watching and not self.over and not self.waiting and (end := self.text.find(b"\n")) >= 0:
-            line = bytes(self.text[:end]).strip()
-            del self.text[:end + 1]
-            if line or not self.answered:
-                self.tell(line)
+        # hazard: chunks and lines need not end together, and an object may take many
+        try:
+            while not self.over and not self.waiting and (found := self.next()) is not None:
+                self.tell(found)
+        except ListError as error:
+            self.fail(f"bad list: {error}")
 
     def tell(self, text: bytes) -> None:
         """Hazard: a peer that tells faster than we read is not read from meanwhile."""
         self.answered = self.waiting = True
-        self.silence.cancel()
+        if self.silence is not None:
+            self.silence.cancel()
         self.owner.told(text, self)
         if self.waiting and self.transport is not None and not self.over:
             self.transport.pause_reading()
@@ -283,14 +318,15 @@
 
     def listen(self) -> None:
         """Hazard: where lists are pushed the agent is silent while discovery is down, which is no failure."""
-        self.silence.cancel()
-        if not (self.owner.pushed and self.watching):
+        if self.silence is not None:
+            self.silence.cancel()
+        if not self.agent:
             self.silence = self.owner.loop.call_later(SILENCE_S, self.fail, "silence")
 
     def on_message_complete(self) -> None:
         if not self.watching and not self.over:
             self.ended = True
-            self.tell(bytes(self.text).strip())
+            self.tell(bytes(self.objects.text).strip())
         else:
             self.fail("the watch has ended")
 
@@ -299,14 +335,38 @@
             self.fail(str(error or "closed"))
 
     def fail(self, why: str) -> None:
+        """It ends by itself; the decisions hear of it behind all that it has told."""
         if not self.over:
             self.close()
-            log.warning("discovery: %s", why)
-            self.owner.failed(self)
+            if self.wanted:
+                self.owner.complain(why)
+                self.owner.told(None, self)
+
+    def end(self) -> None:
+        """It is not wanted any more. Hazard: what has come and is not read yet has been told."""
+        if self.over:
+            return
+        self.wanted, data = False, None
+        if self.transport is not None and not self.transport.is_closing():
+            with contextlib.suppress(OSError):  # nothing is there, or it has broken
+                data = os.read(self.transport.get_extra_info("socket").fileno(), MOST_READ)
+        if data:
+            self.feed(data)
+        self.close()
+
+    def rest(self) -> None:
+        """What a watch has told whole, and is not handed on yet."""
+        with contextlib.suppress(ListError):
+            while (found := self.next()) is not None:
+                self.answered = True
+                self.owner.told(found, self)
 
     def close(self) -> None:
-        self.over = True
-        self.silence.cancel()
+        if not self.over:
+            self.over = True
+            self.rest()
+        if self.silence is not None:
+            self.silence.cancel()
         self.owner.calls.discard(self)
         if self.transport is not None:
             self.transport.abort()
--- a/wickspread/roster/listing.py
+++ b/wickspread/roster/listing.py
@@ -9,6 +9,7 @@
 import hashlib
 import json
 import math
+import re
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 from typing import Any
@@ -27,12 +28,61 @@
 CARE = {api.UpstreamState.READY: 0, api.UpstreamState.DRAINING: 1, api.UpstreamState.GONE: 2}
 DECODER = json.JSONDecoder()
 SPACE = " \t\r\n"
+MOST_STRING = 64 * 1024  # bytes; one that is cut off is looked at again with each piece that comes
+# A string, the beginning of one that is not whole, a brace, the end of a line.
+TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|["{}\n]', re.DOTALL)
 
 
 class ListError(Exception):
     """What discovery sent can't be used."""
 
 
+class Objects:
+    """Cuts a stream into its JSON objects, which may be one a line or take many lines. Pure.
+
+    What stands between objects is cut at the ends of its lines: empty ones are heartbeats, others no list.
+    Each byte is looked at once."""
+
+    def __init__(self) -> None:
+        self.text = bytearray()
+        self.at = 0  # looked at so far
+        self.depth = 0  # braces that are open there
+
+    def __len__(self) -> int:
+        return len(self.text)
+
+    def put(self, data: bytes) -> None:
+        self.text += data
+
+    def next(self) -> bytes | None:
+        """The next object, or line without one; None if it is not whole. Raises ListError."""
+        end = self.look()
+        if end is None:
+            return None
+        found = bytes(self.text[:end]).strip()
+        del self.text[:end]
+        self.at = self.depth = 0
+        return found
+
+    def look(self) -> int | None:
+        """Where the next one ends."""
+        for token in TOKEN.finditer(self.text, self.at):
+            mark = token.group()
+            if mark == b'"':
+                if len(self.text) - token.start() > MOST_STRING:
+                    raise ListError("a string too long")
+                self.at = token.start()
+                return None
+            if mark == b"{":
+                self.depth += 1
+            elif mark == b"}":
+                self.depth -= 1
+            if self.depth <= 0 and mark in (b"}", b"\n"):
+                return token.end()
+        self.at = len(self.text)
+        return None
+
+
 class Directory:
     """Names to the numbers that the decisions use, the same for the process's life."""
 
