A pushed watch that falls silent is opened anew; an asked one after 3 s, not 4.5

Cause: Call.listen never gave a pushed watch up for silence (roster/ discovery.py). Ruled out: lists that were lost on the way, as no watch had ended and none was opened anew in the log. Change: silence counts in both modes; the agent is asked again within 1 s where it says nothing at all; 3 s of silence, as many sidecars' calls come in turn in what is left of 6 s and the grace. Test: test_a_pushed_watch_that_falls_silent_is_opened_anew, red without it.

--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -174,3 +174,15 @@
             eventually(lambda: spared(sidecar, one, two))
             alone(sidecar, left, one, two)
             assert len(discovery.calls) == 1 and not [text for text in sidecar.lines if "bad list" in text]
+
+
+def test_a_pushed_watch_that_falls_silent_is_opened_anew() -> None:
+    """What it misses counts as told 6 s later, whether lists are pushed or asked for."""
+    with (Upstream() as one, Upstream() as left,
+          Sidecar([one, left], **lists("pushed")) as sidecar):
+        eventually(lambda: sidecar.discovery.watches)
+        sidecar.discovery.hosts = [one.entry(health="terminating"), left.entry()]  # told on no open watch
+        sidecar.discovery.seq = 2
+        eventually(lambda: spared(sidecar, one))
+        assert [text for text in sidecar.lines if "silence" in text]
+        alone(sidecar, left, one)
--- a/wickspread/roster/discovery.py
+++ b/wickspread/roster/discovery.py
@@ -23,8 +23,12 @@
 log = logging.getLogger("wickspread")
 
 CONNECT_S = 2.0
-# Two heartbeats of 2 s and a little. Hazard: what a dead watch does not tell counts as told after 6 s.
-SILENCE_S = 4.5
+ANSWER_S = 4.5  # a call's first word: calls wait in turn, for some seconds
+# A heartbeat of 2 s and a half. Hazard: what a silent watch does not tell counts as told 6 s after its last
+# word; in what is left, many sidecars' calls come in turn.
+SILENCE_S = 3.0
+AGENT_CONNECT_S = 0.5  # where lists are pushed: the agent is on this machine, and answers at once
+AGENT_ANSWER_S = 1.0
 MAX_LINE = 4 * 1024 * 1024
 MOST_READ = 256 * 1024
 STEP_S = 0.003  # a large list holds the loop for about so long before others have their turn
@@ -239,7 +243,7 @@
 
     async def connect(self) -> None:
         try:
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(AGENT_CONNECT_S if self.agent else CONNECT_S):
                 await self.owner.loop.create_connection(lambda: self, *self.owner.address)
         except (OSError, TimeoutError) as error:
             self.fail(str(error) or "no connection in time")
@@ -317,11 +321,14 @@
         self.owner.loop.call_soon(self.lines)
 
     def listen(self) -> None:
-        """Hazard: where lists are pushed the agent is silent while discovery is down, which is no failure."""
+        """Hazard: where lists are pushed the agent is silent while discovery is down; it costs nothing to be
+        asked again, and what a broken watch misses counts as told all the same."""
         if self.silence is not None:
             self.silence.cancel()
-        if not self.agent:
-            self.silence = self.owner.loop.call_later(SILENCE_S, self.fail, "silence")
+        wait_s = AGENT_ANSWER_S if self.agent else ANSWER_S
+        if self.answered and self.watching:
+            wait_s = SILENCE_S
+        self.silence = self.owner.loop.call_later(wait_s, self.fail, "silence")
 
     def on_message_complete(self) -> None:
         if not self.watching and not self.over:
