A request whose client has left is not sent on: half written, or where we do not read

Seen: with 16 pipelined requests a connection is not read from (http1/client.py, pause), so no leaving was noticed till they were answered, and the one in the buffer was sent on; a request of which the kernel had a part went whole once the upstream read on (http1/upstream.py, feed), though its client was gone or its answer given. Ruled out by test: the buffer with 1, 16, 200 clients, a dial that comes up late with cancel forbidden, an upload that is cut, behind a large answer; by close, reset, half-close: all sound. Change: those that are not read from are looked at each 0.1 s for a hang-up (POLLRDHUP); an attempt that the kernel has not whole ends with its request (Attempt.forgo), as it never ran; at the end of a client's input what waits is given up at once, not when its answers have gone. Tries that failed: counting descriptors to tell that a reset was noticed (a probe's own closed meanwhile); the tests name the socket now.

--- a/wickspread/engine/engine.py
+++ b/wickspread/engine/engine.py
@@ -314,6 +314,10 @@
             entry.guard.cancel()
         if entry.out == 0:
             del self.requests[ident]
+        else:
+            for attempt in list(entry.attempts):
+                if attempt is not None:
+                    attempt.forgo()
 
 
 class Out:
--- a/wickspread/engine/seams.py
+++ b/wickspread/engine/seams.py
@@ -41,6 +41,9 @@
 
     def finish(self, outcome: api.Outcome) -> None: ...
 
+    def forgo(self) -> None:
+        """Its request is over: what the kernel has not whole goes no further."""
+
 
 class Started(Attempt, Protocol):
     def start(self, upstream: int, timeout_s: float) -> None: ...
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -155,6 +155,12 @@
         if self.sweeper is not None:
             self.sweeper.cancel()
 
+    def eof_received(self) -> None:
+        """The client has left. Hazard: asyncio closes the connection once all that is written has gone."""
+        self.deaf = True
+        for stream in list(self.calls):
+            self.forget(stream)
+
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -93,6 +93,9 @@
         self.wide = False  # the node may send more than the first window
         self.since = 0.0
 
+    def forgo(self) -> None:
+        """Its relay gives up what is out as soon as the call is over."""
+
     def start(self, upstream: int, timeout_s: float) -> None:
         if not self.source.again():
             self.finish(api.Outcome.NOT_SENT)
--- a/wickspread/http1/client.py
+++ b/wickspread/http1/client.py
@@ -15,7 +15,7 @@
 from wickspread.http1.listener import Listener
 from wickspread.http1.outflow import InLine, Outflow
 from wickspread.http1.request import Rejected
-from wickspread.http1.upstream import MAX_HEAD, input_poll
+from wickspread.http1.upstream import MAX_HEAD, hangup_poll, input_poll
 
 log = logging.getLogger("wickspread")
 
@@ -122,6 +122,7 @@
         self.deaf = True
         if self.lingers is not None:
             self.lingers.cancel()
+        self.server.unheard.pop(self, None)
         self.stop_reading()
         self.forget()
         del self.parser  # it holds us as we hold it
@@ -155,7 +156,16 @@
             self.server.rests(self)
 
     def eof_received(self) -> None:
-        """The client has sent all that it will: asyncio closes the connection."""
+        """The client has left: asyncio closes the connection. Hazard: it does so once all that is written has
+        gone, which a client that does not read puts off; what waits here would be sent on meanwhile."""
+        self.deaf = True
+        self.stop_reading()
+        self.forget()
+
+    def left(self) -> bool:
+        """While we do not read, the loop tells nothing of a client that leaves; the kernel knows."""
+        return bool(self.pending and self.transport is not None and not self.transport.is_closing()
+                    and hangup_poll(self.transport).poll(0))
 
     def pause_writing(self) -> None:
         self.choked = True
@@ -365,10 +375,12 @@
         if not self.paused and self.transport is not None and not self.transport.is_closing():
             self.paused, self.paused_at = True, self.server.loop.time()
             self.transport.pause_reading()
+            self.server.unhear(self)
 
     def hear(self) -> None:
         if self.paused and self.transport is not None and not self.transport.is_closing():
             self.paused = False
+            self.server.unheard.pop(self, None)
             self.since += self.server.loop.time() - self.paused_at  # it was we who did not read
             self.transport.resume_reading()
 
--- a/wickspread/http1/listener.py
+++ b/wickspread/http1/listener.py
@@ -42,6 +42,15 @@
     def leave(self) -> None: ...
 
 
+class Unheard(Protocol):
+    """A connection that is not read from just now."""
+
+    def left(self) -> bool:
+        """Somebody waited there, and has gone."""
+
+    def drop(self) -> None: ...
+
+
 class Sender(Protocol):
     """A connection that sends a body which is passed on as it comes."""
 
@@ -84,6 +93,7 @@
         self.loop = engine.loop
         self.spool = spool
         self.uploads: dict[Sender, None] = {}  # bodies that are passed on as they come
+        self.unheard: dict[Unheard, None] = {}  # connections that are not read from just now
         self.open: set[bytes] = set()  # Req-Ids of requests that are not answered
         self.closing = False  # each answer ends its connection
         self.front: OtherFront | None = None
@@ -98,6 +108,10 @@
         """A request has come, or its head has and `upload` will hold the rest. Raises Rejected."""
         raise NotImplementedError
 
+    def unhear(self, connection: Unheard) -> None:
+        """It is not read from until it is out of `unheard`."""
+        self.unheard[connection] = None
+
     def busy(self, connection: Incoming) -> None:
         """Something is owed there."""
         raise NotImplementedError
--- a/wickspread/http1/server.py
+++ b/wickspread/http1/server.py
@@ -12,7 +12,7 @@
 from wickspread.engine.engine import Engine
 from wickspread.http1.admission import Admission
 from wickspread.http1.client import ClientConnection
-from wickspread.http1.listener import Asked, Incoming, Listener
+from wickspread.http1.listener import Asked, Incoming, Listener, Unheard
 from wickspread.http1.request import Reader, Rejected
 from wickspread.http1.upstream import itself
 
@@ -23,6 +23,7 @@
 DRAIN_NOTICE_S = 0.4  # the front asks ten times a second, and sends new connections for 0.2 s after a no
 ACCEPT_AFTER_STOP_S = 0.5  # new connections go on coming for up to 0.4 s after SIGTERM
 LOOK_S = 0.01
+HEARKEN_S = 0.1  # who leaves is noticed within it, also where we do not read
 KILL_DEADLINE_S = 3.0  # SIGKILL comes the longest deadline, at most this, and 0.7 s after SIGTERM
 KILL_SLACK_S = 0.5
 FLUSH_S = 1.0
@@ -46,6 +47,7 @@
         self.drained: asyncio.Task[None] | None = None
         self.next_complaint = 0.0
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
+        self.hearkens: asyncio.TimerHandle | None = None
 
     @property
     def ready(self) -> bool:
@@ -96,6 +98,19 @@
             if connection.quiet():
                 self.drop(connection)
 
+    def unhear(self, connection: Unheard) -> None:
+        self.unheard[connection] = None
+        if self.hearkens is None:
+            self.hearkens = self.loop.call_later(HEARKEN_S, self.hearken)
+
+    def hearken(self) -> None:
+        """Hazard: what waits for a client that has left would be sent on once its turn comes."""
+        for connection in list(self.unheard):
+            if connection.left():
+                del self.unheard[connection]
+                connection.drop()
+        self.hearkens = self.loop.call_later(HEARKEN_S, self.hearken) if self.unheard else None
+
     def resume(self) -> None:
         if self.listener is not None and not self.listening:
             self.listening = True
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -89,6 +89,13 @@
             connection.release()
         self.ended(outcome, answer)
 
+    def forgo(self) -> None:
+        """Its request is over. Hazard: the rest of one that is half written would go once the upstream reads
+        on, and it would run for nobody."""
+        connection = self.connection
+        if connection is not None and not connection.written:
+            self.finish(api.Outcome.NOT_SENT)
+
     def expire(self) -> None:
         """We stop waiting. What was not written whole has never run."""
         connection = self.connection
@@ -109,6 +116,13 @@
         self.finish(api.Outcome.TIMEOUT)
 
 
+def hangup_poll(transport: asyncio.BaseTransport) -> select.poll:
+    """Its poll(0) tells whether the peer has closed or reset, whatever waits unread before that."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return poll
+
+
 def input_poll(transport: asyncio.BaseTransport) -> select.poll:
     """Its poll(0) tells whether something waits unread."""
     poll = select.poll()
