At its end the sidecar answers what comes late, and leaves none in the backlog

Seen by tests that force it, red on the old tree: (1) requests are given up once, at the end of the patience after SIGTERM; one whose last byte came after that went to the same hung upstream and its connection ended with no answer (http1/server.py, stop: given_up). (2) at the limit of connections accept() takes nobody, and the listener was closed on what the kernel had accepted (stop: one accept, then close). Change: from the end of the patience on all that is open is given up each 10 ms; the listener stays till its backlog is empty, for the patience at most.

--- a/wickspread/http1/server.py
+++ b/wickspread/http1/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 from functools import partial
 
@@ -30,6 +31,13 @@
 RETRY_ACCEPT_S = 0.05
 
 
+def waits(listener: socket.socket) -> bool:
+    """Connections wait to be accepted."""
+    poll = select.poll()
+    poll.register(listener.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class Server(Listener):
     """The listener, within a budget of client connections."""
 
@@ -255,24 +263,28 @@
         if self.drained is not None:
             self.drained.cancel()
         self.tell_front()
+        late = began + self.patience_s()
         if not self.inherited:
             await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-            self.accept()  # hazard: what still waits in the backlog is reset with the listener, and lost
+            self.closing = True
+            self.accept()
+            # hazard: what still waits in the backlog is reset with the listener, and lost; at the limit it
+            # waits for the answers of others
+            while self.listener is not None and self.loop.time() < late and waits(self.listener):
+                await asyncio.sleep(LOOK_S)
+                self.accept()
         self.pause()
         listener, self.listener = self.listener, None
         if listener is not None:
             listener.close()
         self.closing = True
         await asyncio.gather(*self.tasks)
-        late = self.loop.time() + max(0.0, self.patience_s() - (self.loop.time() - began))
-        given_up = False
         while left := [one for one in self.connections if one.pending or not one.deaf]:
             for connection in left:
                 connection.leave()
                 if not connection.pending and not connection.reading and connection.quiet():
                     self.drop(connection)
-            if not given_up and self.loop.time() >= late:
-                given_up = True
+            if self.loop.time() >= late:  # hazard: clients send on what is open till the kill
                 for ident in list(self.engine.requests):
                     self.engine.give_up(ident, 504)  # hazard: what a kill finds unanswered is lost
             if self.loop.time() >= late + FLUSH_S:
