A connection rests 20 ms between two requests: a late second answer is not the next one's

Change: one that rests is passed over, 250 ms where the upstream has once been out of step; a rested one is taken, else a new one is opened. With tens of requests a second over dozens of upstreams a connection is seldom asked twice in 20 ms.

--- a/wickspread/engine/seams.py
+++ b/wickspread/engine/seams.py
@@ -100,6 +100,7 @@
     idle: dict[Idle, None] = field(default_factory=dict)  # the last one was used most recently
     told: api.Upstream | None = None  # the entry as the list has it, where a hand holds it otherwise
     heard: float = 0.0  # loop time of the last byte from it
+    odd: bool = False  # it has answered twice, or what nobody asked
     generation: int = 0  # counts its restarts
     open: int = 0  # connections, those being made among them
 
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -26,6 +26,10 @@
 FIRST_S = 0.1  # an answer of unknown length that takes longer than this is passed on as it comes
 STALL_S = 10.0  # no byte of a body moves for so long: it is given up
 SWEEP_S = 0.25
+# What a connection rests between two requests, and where the upstream has been out of step with us. Hazard: a
+# second answer that comes late, by milliseconds, would be taken for the next request's.
+REST_S = 0.02
+ODD_REST_S = 0.25
 # Ours, not the upstream's: too many descriptors, no memory, no free port.
 LOCAL_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 # Headers that speak of one connection only, or that we set ourselves, and so go no further.
@@ -157,6 +161,9 @@
         self.transport.set_write_buffer_limits(high=0)
         self.poll = input_poll(transport)
 
+    def rested(self) -> bool:
+        return self.loop.time() - self.idle_since >= (ODD_REST_S if self.host.odd else REST_S)
+
     def usable(self) -> bool:
         """Hazard: an upstream's close may be waiting unread; a request written after it is a reset."""
         now = self.loop.time()
@@ -230,6 +237,7 @@
     def data_received(self, data: bytes) -> None:
         self.host.heard = self.loop.time()
         if self.exchange is None:  # nothing was asked: out of step
+            self.host.odd = True
             self.close()
             return
         self.raw += len(data)
@@ -318,7 +326,7 @@
 
     def on_message_begin(self) -> None:
         if self.complete:  # a second answer to one request: the connection is out of step
-            self.status_begun = True
+            self.status_begun = self.host.odd = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.complete:
@@ -475,6 +483,7 @@
                     != (new.dial, new.dial_grpc, new.entry.started_us)):
                 # hazard: connections to the process before are dead, though they look open
                 old.generation += 1
+                old.odd = False
                 old.close_idle()
             old.entry, old.dial, old.dial_grpc, old.told = new.entry, new.dial, new.dial_grpc, new.told
             if not old.wanted():
@@ -505,8 +514,10 @@
             return
         exchange.timeout_s = timeout_s
         exchange.timer = self.timers.later(timeout_s, exchange.expire)
-        while host.idle:
-            connection = cast(Connection, next(reversed(host.idle)))
+        for idle in list(reversed(host.idle)):
+            connection = cast(Connection, idle)
+            if not connection.rested():
+                continue
             if connection.usable():
                 connection.leave()
                 connection.begin(exchange)
