--- /dev/null
+++ b/tests/crossings/test_grpc_leaving.py
@@ -0,0 +1,74 @@
+"""A gRPC client leaves while its call waits: no node hears of it. docs/design/crossings.md."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.grpc.rig import ANSWER, Client, Node, Rig, run
+from tests.http2.frames import GOAWAY, frame
+from wickspread.decisions import interface as api
+from wickspread.grpc.message import framed
+from wickspread.http2.connection import HeadersReceived
+
+
+def leave(client: Client, stream: int, how: str) -> None:
+    assert client.transport is not None
+    if how == "reset of its stream":
+        client.http2.reset(stream, 8)
+        client.flush()
+    elif how == "GOAWAY":
+        client.write(frame(GOAWAY, 0, 0, bytes(8)))
+        client.transport.close()
+    elif how == "half-close":
+        client.transport.write_eof()
+    else:
+        client.transport.abort()
+
+
+@pytest.mark.parametrize("reads", [True, False])
+@pytest.mark.parametrize("how", ["reset of its stream", "GOAWAY", "half-close", "lost connection"])
+def test_a_call_that_waits_is_not_sent_once_its_client_has_left(how: str, reads: bool) -> None:
+    """The decisions keep it waiting, and send it as soon as they hear that it is gone. A client that does not
+    read what it is given puts off the end of its connection."""
+    async def test() -> None:
+        gone = asyncio.Event()
+
+        def act(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.RequestArrived) and event.class_index == 0:
+                return [api.Send(event.request, 1, 0)]
+            if isinstance(event, api.RequestGone):
+                gone.set()
+                return [api.Send(event.request, 1, 0)]
+            return []
+
+        def script(node: Node, stream: int) -> None:
+            node.http2.send_headers(stream, ANSWER)
+            node.http2.send_data(stream, framed(bytes(8_000_000)))
+            node.flush()
+
+        rig = Rig(act)
+        await rig.node(lambda: Node(script))
+        client = await rig.client()
+        if not reads:
+            large = [client.call("/t.T/Read") for _ in range(30)]  # each within its window
+            await client.until(lambda: client.of(HeadersReceived, large[0]))
+            assert client.transport is not None
+            client.transport.pause_reading()
+            while not any(one.backlog() for one in rig.server.connections):
+                await asyncio.sleep(0)
+        before = sum(len(node.calls()) for node in rig.made[0])
+        stream = client.call("/t.T/Pay")
+        decisions = rig.decisions
+        assert decisions is not None
+        while not [1 for one in decisions.events if isinstance(one, api.RequestArrived) and one.class_index]:
+            await asyncio.sleep(0)
+        leave(client, stream, how)
+        await gone.wait()
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert sum(len(node.calls()) for node in rig.made[0]) == before
+        rig.close()
+
+    run(test)
--- /dev/null
+++ b/tests/crossings/test_time_out.py
@@ -0,0 +1,74 @@
+"""An attempt's time-out crosses the kernel's taking of its last byte. docs/design/crossings.md."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+import uvloop
+
+from tests.sockets import LONG_S
+from wickspread.decisions import interface as api
+from wickspread.engine.seams import Host
+from wickspread.http1.upstream import Exchange, Pool
+
+BODY = 8 * 1024 * 1024  # bytes; more than the kernels of one connection hold
+HEAD = b"POST /pay/1 HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % BODY
+
+
+@pytest.mark.parametrize("taken_first", [True, False])
+def test_what_is_told_as_never_sent_never_comes_whole(taken_first: bool) -> None:
+    """The upstream takes all that is there, so the kernel has room again, and the time is out: the loop meets
+    both in one turn. Told as not sent, an unsafe request is repeated, so its last byte must not go."""
+    async def test(listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        pool = Pool(connect_s=LONG_S, idle_s=5.0, most=8)
+        pool.update([Host(api.Upstream(1), listener.getsockname())], whole=True)
+        ends: list[api.Outcome] = []
+        exchange = Exchange(lambda: [HEAD, bytes(BODY)], lambda outcome, answer: ends.append(outcome))
+        pool.start(1, exchange, LONG_S)
+        upstream, _ = await loop.sock_accept(listener)
+        while exchange.connection is None:
+            await asyncio.sleep(0)
+        assert not exchange.connection.written and exchange.connection.transport is not None
+        size = 0
+
+        def take() -> int:
+            """All that can be had without a turn of the loop."""
+            got = 0
+            while True:
+                try:
+                    data = upstream.recv(1 << 20)
+                except BlockingIOError:
+                    return got
+                if not data:
+                    return got
+                got += len(data)
+
+        if taken_first:
+            size += take()  # the kernel would take more now, and the loop has had no turn
+        exchange.expire()
+        size += take()
+        assert ends == [api.Outcome.CONNECT_FAILED]
+        closed = False
+        while not closed:
+            await asyncio.sleep(0)
+            try:
+                data = upstream.recv(1 << 20)
+                size += len(data)
+                closed = not data
+            except BlockingIOError:
+                pass
+            except ConnectionResetError:
+                closed = True
+        assert size < len(HEAD) + BODY
+        pool.close()
+        upstream.close()
+
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(8)
+        listener.setblocking(False)
+        uvloop.run(asyncio.wait_for(test(listener), LONG_S))
