What is half written when its time is out is held against who took none

Need: read once more: since half-written attempts end with their request, one whose time was out ended as never sent, so an upstream that reads nothing was not blamed. Change: Attempt.forgo is told the outcome: NOT_SENT where the client left, CONNECT_FAILED else; both never ran.

--- a/tests/crossings/test_time_out.py
+++ b/tests/crossings/test_time_out.py
@@ -9,6 +9,7 @@
 import uvloop
 
 from tests.sockets import LONG_S
+from tests.test_engine import call, engine_of
 from wickspread.decisions import interface as api
 from wickspread.engine.seams import Host
 from wickspread.http1.upstream import Exchange, Pool
@@ -72,3 +73,35 @@
         listener.listen(8)
         listener.setblocking(False)
         uvloop.run(asyncio.wait_for(test(listener), LONG_S))
+
+
+@pytest.mark.parametrize(("how", "outcome"), [
+    ("its time is out", api.Outcome.CONNECT_FAILED), ("its client left", api.Outcome.NOT_SENT)])
+def test_what_is_half_written_ends_with_its_request_and_is_held_against_who_took_none(
+        how: str, outcome: api.Outcome) -> None:
+    async def test(listener: socket.socket) -> None:
+        engine, decisions = engine_of(lambda event: (
+            [api.Send(event.request, 1, 0)] if isinstance(event, api.RequestArrived) else []))
+        engine.pool.update([Host(api.Upstream(1), listener.getsockname())], whole=True)
+        asked = call(engine)
+        asked.body = bytes(BODY)
+        replies: list[int] = []
+        ident = engine.accept(asked, lambda status, head, body: replies.append(status))
+        upstream, _ = await engine.loop.sock_accept(listener)
+        while not await engine.loop.sock_recv(upstream, 1):
+            pass
+        if how == "its client left":
+            engine.gone(ident)
+        else:
+            engine.overdue(ident)
+        ended = [event for event in decisions.events if isinstance(event, api.AttemptEnded)]
+        assert [event.outcome for event in ended] == [outcome] and not engine.requests
+        assert replies == ([] if how == "its client left" else [504])
+        upstream.close()
+
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(8)
+        listener.setblocking(False)
+        uvloop.run(asyncio.wait_for(test(listener), LONG_S))
--- a/wickspread/engine/engine.py
+++ b/wickspread/engine/engine.py
@@ -315,9 +315,11 @@
         if entry.out == 0:
             del self.requests[ident]
         else:
+            # a client that left says nothing of the upstream; one that took no request in its time does
+            outcome = api.Outcome.NOT_SENT if status == 0 else api.Outcome.CONNECT_FAILED
             for attempt in list(entry.attempts):
                 if attempt is not None:
-                    attempt.forgo()
+                    attempt.forgo(outcome)
 
 
 class Out:
--- a/wickspread/engine/seams.py
+++ b/wickspread/engine/seams.py
@@ -41,8 +41,8 @@
 
     def finish(self, outcome: api.Outcome) -> None: ...
 
-    def forgo(self) -> None:
-        """Its request is over: what the kernel has not whole goes no further."""
+    def forgo(self, outcome: api.Outcome) -> None:
+        """Its request is over: what the kernel has not whole goes no further, and ends so."""
 
 
 class Started(Attempt, Protocol):
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -93,7 +93,7 @@
         self.wide = False  # the node may send more than the first window
         self.since = 0.0
 
-    def forgo(self) -> None:
+    def forgo(self, outcome: api.Outcome) -> None:
         """Its relay gives up what is out as soon as the call is over."""
 
     def start(self, upstream: int, timeout_s: float) -> None:
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -94,12 +94,12 @@
             connection.release()
         self.ended(outcome, answer)
 
-    def forgo(self) -> None:
+    def forgo(self, outcome: api.Outcome) -> None:
         """Its request is over. Hazard: the rest of one that is half written would go once the upstream reads
         on, and it would run for nobody."""
         connection = self.connection
         if connection is not None and not connection.written:
-            self.finish(api.Outcome.NOT_SENT)
+            self.finish(outcome)
 
     def expire(self) -> None:
         """We stop waiting. What was not written whole has never run."""
