--- a/tests/lab/playing.py
+++ b/tests/lab/playing.py
@@ -23,7 +23,8 @@
     async def run() -> Scene:
         async with Scene(plan) as scene:
             await test(scene)
-        assert not [line for one in scene.sidecars for line in one.lines if "Traceback" in line]
+        odd = [one for one in scene.sidecars if any("Traceback" in line for line in one.lines)]
+        assert not odd, "\n".join(line for one in odd for line in one.lines)
         return scene
 
     return asyncio.run(asyncio.wait_for(run(), 4 * LONG_S))
