--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -29,8 +29,8 @@
 # What a connection rests between two requests, and where the upstream has been out of step with us. Hazard: a
 # second answer that comes late, by milliseconds, would be taken for the next request's. The short rest is
 # waited for, as a new connection takes about as long; instead of the long one a new one is opened.
-REST_S = 0.01
-ODD_REST_S = 0.25
+REST_S = 0.004
+ODD_REST_S = 0.05
 # Ours, not the upstream's: too many descriptors, no memory, no free port.
 LOCAL_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 # Headers that speak of one connection only, or that we set ourselves, and so go no further.
