Gates, narrow listeners, polls and what is abandoned stand once each

Need: the mends of the crossings wrote the same few lines two and three times: an upstream that holds back, a listener whose kernel takes little, a poll of one descriptor, what a lost client leaves. Change: one of each; the pool walks idle connections without a copy of them; a call's silence always has its timer.

--- a/tests/crossings/test_ending.py
+++ b/tests/crossings/test_ending.py
@@ -3,25 +3,13 @@
 from __future__ import annotations
 
 import select
-import threading
 
-from tests.sockets import LONG_S, Client, Message, Sidecar, Upstream, answer, eventually
+from tests.crossings.stand_ins import Gate
+from tests.sockets import LONG_S, Client, Sidecar, eventually
 
 SLOW = b"z" * 60_000  # a body that may take its time: by its size, longer than the sidecar's end
 
 
-class Gate:
-    """An upstream that answers nobody until it is opened."""
-
-    def __init__(self) -> None:
-        self.opened = threading.Event()
-        self.upstream = Upstream(script=self.script)
-
-    def script(self, request: Message, client: object) -> bytes:
-        self.opened.wait(3 * LONG_S)
-        return answer(b"ok")
-
-
 def test_what_comes_whole_after_all_have_been_given_up_is_answered_too() -> None:
     """The upstream hangs. At the end of its patience the sidecar gives up what is out, once; a request whose
     last byte came later was sent to the same upstream, and its connection ended with no answer."""
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -17,7 +17,8 @@
 
 import pytest
 
-from tests.sockets import LONG_S, Client, Message, Sidecar, Upstream, answer, eventually
+from tests.crossings.stand_ins import Gate, narrow
+from tests.sockets import LONG_S, Client, Sidecar, Upstream, answer, eventually
 
 
 def closes(client: Client) -> None:
@@ -37,18 +38,6 @@
 Leaves = Callable[[Client], None]
 
 
-class Gate:
-    """An upstream that answers nobody until it is opened."""
-
-    def __init__(self) -> None:
-        self.opened = threading.Event()
-        self.upstream = Upstream(script=self.script)
-
-    def script(self, request: Message, client: object) -> bytes:
-        self.opened.wait(3 * LONG_S)
-        return answer(b"ok")
-
-
 BEYOND = 3_000_000  # bytes; more than the kernels of a stand-in's connection hold
 
 
@@ -142,10 +131,7 @@
 @LEAVES
 def test_while_what_it_sent_is_half_written(leaves: Leaves) -> None:
     """The upstream does not read on: the kernel has a part of the request, and the rest would go later."""
-    with socket.socket() as listener:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(8)
+    with narrow() as listener:
         listener.settimeout(LONG_S)
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         with Upstream() as named, Sidecar([named], known=[named.entry(dial=address)], **AIM) as sidecar:
--- a/tests/crossings/test_time_out.py
+++ b/tests/crossings/test_time_out.py
@@ -8,6 +8,7 @@
 import pytest
 import uvloop
 
+from tests.crossings.stand_ins import narrow
 from tests.sockets import LONG_S
 from tests.test_engine import call, engine_of
 from wickspread.decisions import interface as api
@@ -67,10 +68,7 @@
         pool.close()
         upstream.close()
 
-    with socket.socket() as listener:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(8)
+    with narrow() as listener:
         listener.setblocking(False)
         uvloop.run(asyncio.wait_for(test(listener), LONG_S))
 
@@ -99,9 +97,6 @@
         assert replies == ([] if how == "its client left" else [504])
         upstream.close()
 
-    with socket.socket() as listener:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(8)
+    with narrow() as listener:
         listener.setblocking(False)
         uvloop.run(asyncio.wait_for(test(listener), LONG_S))
--- a/wickspread/grpc/front.py
+++ b/wickspread/grpc/front.py
@@ -148,18 +148,14 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.lost(self)
-        self.deaf = True
-        for stream in list(self.calls):
-            self.forget(stream)
+        self.abandoned()
         self.front.watches = {one for one in self.front.watches if one[0] is not self}
         if self.sweeper is not None:
             self.sweeper.cancel()
 
     def eof_received(self) -> None:
         """The client has left. Hazard: asyncio closes the connection once all that is written has gone."""
-        self.deaf = True
-        for stream in list(self.calls):
-            self.forget(stream)
+        self.abandoned()
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
@@ -268,6 +264,12 @@
         if relay is not None:
             relay.gone()
 
+    def abandoned(self) -> None:
+        """Nothing is read here any more, and nobody waits for what is open."""
+        self.deaf = True
+        for stream in list(self.calls):
+            self.forget(stream)
+
     def over(self, stream: int) -> Relay | None:
         """Nothing is owed on it any more; the call, if it was one."""
         self.slow.pop(stream, None)
@@ -415,9 +417,7 @@
         """It is of no more use; its GOAWAY says why."""
         if event.code != NO_ERROR:
             self.server.complain(f"a gRPC client: HTTP/2: {event.why}")
-        self.deaf = True
-        for stream in list(self.calls):
-            self.forget(stream)
+        self.abandoned()
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(self.http2.outgoing())
             self.transport.close()
--- a/wickspread/http1/client.py
+++ b/wickspread/http1/client.py
@@ -119,12 +119,10 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.server.lost(self)
-        self.deaf = True
         if self.lingers is not None:
             self.lingers.cancel()
         self.server.unheard.pop(self, None)
-        self.stop_reading()
-        self.forget()
+        self.abandoned()
         del self.parser  # it holds us as we hold it
 
     def data_received(self, data: bytes) -> None:
@@ -158,6 +156,10 @@
     def eof_received(self) -> None:
         """The client has left: asyncio closes the connection. Hazard: it does so once all that is written has
         gone, which a client that does not read puts off; what waits here would be sent on meanwhile."""
+        self.abandoned()
+
+    def abandoned(self) -> None:
+        """Nothing is read or owed here any more."""
         self.deaf = True
         self.stop_reading()
         self.forget()
--- a/wickspread/http1/listener.py
+++ b/wickspread/http1/listener.py
@@ -110,7 +110,7 @@
 
     def unhear(self, connection: Unheard) -> None:
         """It is not read from until it is out of `unheard`."""
-        self.unheard[connection] = None
+        raise NotImplementedError
 
     def busy(self, connection: Incoming) -> None:
         """Something is owed there."""
--- a/wickspread/http1/server.py
+++ b/wickspread/http1/server.py
@@ -15,7 +15,7 @@
 from wickspread.http1.client import ClientConnection
 from wickspread.http1.listener import Asked, Incoming, Listener, Unheard
 from wickspread.http1.request import Reader, Rejected
-from wickspread.http1.upstream import itself
+from wickspread.http1.upstream import itself, poll_of
 
 log = logging.getLogger("wickspread")
 
@@ -31,13 +31,6 @@
 RETRY_ACCEPT_S = 0.05
 
 
-def waits(listener: socket.socket) -> bool:
-    """Connections wait to be accepted."""
-    poll = select.poll()
-    poll.register(listener.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class Server(Listener):
     """The listener, within a budget of client connections."""
 
@@ -266,18 +259,19 @@
         late = began + self.patience_s()
         if not self.inherited:
             await asyncio.sleep(ACCEPT_AFTER_STOP_S)
-            self.closing = True
+        self.closing = True
+        if not self.inherited and self.listener is not None:
             self.accept()
             # hazard: what still waits in the backlog is reset with the listener, and lost; at the limit it
             # waits for the answers of others
-            while self.listener is not None and self.loop.time() < late and waits(self.listener):
+            backlog = poll_of(self.listener.fileno(), select.POLLIN)
+            while self.loop.time() < late and backlog.poll(0):
                 await asyncio.sleep(LOOK_S)
                 self.accept()
         self.pause()
         listener, self.listener = self.listener, None
         if listener is not None:
             listener.close()
-        self.closing = True
         await asyncio.gather(*self.tasks)
         while left := [one for one in self.connections if one.pending or not one.deaf]:
             for connection in left:
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -121,18 +121,21 @@
         self.finish(api.Outcome.TIMEOUT)
 
 
-def hangup_poll(transport: asyncio.BaseTransport) -> select.poll:
-    """Its poll(0) tells whether the peer has closed or reset, whatever waits unread before that."""
+def poll_of(descriptor: int, events: int) -> select.poll:
+    """Its poll(0) tells whether one of them is there."""
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    poll.register(descriptor, events)
     return poll
 
 
+def hangup_poll(transport: asyncio.BaseTransport) -> select.poll:
+    """Its poll(0) tells whether the peer has closed or reset, whatever waits unread before that."""
+    return poll_of(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+
+
 def input_poll(transport: asyncio.BaseTransport) -> select.poll:
     """Its poll(0) tells whether something waits unread."""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-    return poll
+    return poll_of(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
 
 class Connection:
@@ -532,17 +535,24 @@
         if not host.wanted():
             exchange.finish(api.Outcome.NOT_SENT)
             return
+        rested: Connection | None = None
         resting: Connection | None = None
-        for idle in list(reversed(host.idle)):
+        broken: list[Connection] = []  # to close one takes it out of what is walked
+        for idle in reversed(host.idle):
             connection = cast(Connection, idle)
             if not connection.usable():
-                connection.close()
+                broken.append(connection)
             elif connection.rest_left_s() > 0.0:
                 resting = connection
             else:
-                connection.leave()
-                connection.begin(exchange)
-                return
+                rested = connection
+                break
+        for connection in broken:
+            connection.close()
+        if rested is not None:
+            rested.leave()
+            rested.begin(exchange)
+            return
         if resting is not None and not host.odd:
             resting.leave()
             self.timers.later(resting.rest_left_s(), resting.rested, exchange)
--- a/wickspread/roster/discovery.py
+++ b/wickspread/roster/discovery.py
@@ -66,11 +66,11 @@
         """Discovery is elsewhere now; what is under way is asked for there at once."""
         if self.closed or address == self.address:
             return
-        # hazard: versions are the old one's own; by them the new one might leave out what we don't know
         fetches = [call for call in self.calls if not call.watching]
         for call in list(self.calls):
             call.end()
         self.watch = None
+        # hazard: versions are the old one's own; by them the new one might leave out what we don't know
         self.address, self.version = address, 0
         self.era += 1
         self.subscribe(self.wanted)
@@ -236,9 +236,8 @@
         self.objects = Objects()
         self.head = MAX_HEAD  # bytes that it may still take
         self.parser = httptools.HttpResponseParser(self)
-        self.silence: asyncio.TimerHandle | None = None
+        self.silence = owner.loop.call_later(self.patience_s(), self.fail, "silence")
         owner.calls.add(self)
-        self.listen()
         self.task = owner.loop.create_task(self.connect())
 
     async def connect(self) -> None:
@@ -301,8 +300,7 @@
     def tell(self, text: bytes) -> None:
         """Hazard: a peer that tells faster than we read is not read from meanwhile."""
         self.answered = self.waiting = True
-        if self.silence is not None:
-            self.silence.cancel()
+        self.silence.cancel()
         self.owner.told(text, self)
         if self.waiting and self.transport is not None and not self.over:
             self.transport.pause_reading()
@@ -320,15 +318,16 @@
         self.listen()
         self.owner.loop.call_soon(self.lines)
 
-    def listen(self) -> None:
+    def patience_s(self) -> float:
         """Hazard: where lists are pushed the agent is silent while discovery is down; it costs nothing to be
         asked again, and what a broken watch misses counts as told all the same."""
-        if self.silence is not None:
-            self.silence.cancel()
-        wait_s = AGENT_ANSWER_S if self.agent else ANSWER_S
         if self.answered and self.watching:
-            wait_s = SILENCE_S
-        self.silence = self.owner.loop.call_later(wait_s, self.fail, "silence")
+            return SILENCE_S
+        return AGENT_ANSWER_S if self.agent else ANSWER_S
+
+    def listen(self) -> None:
+        self.silence.cancel()
+        self.silence = self.owner.loop.call_later(self.patience_s(), self.fail, "silence")
 
     def on_message_complete(self) -> None:
         if not self.watching and not self.over:
@@ -372,8 +371,7 @@
         if not self.over:
             self.over = True
             self.rest()
-        if self.silence is not None:
-            self.silence.cancel()
+        self.silence.cancel()
         self.owner.calls.discard(self)
         if self.transport is not None:
             self.transport.abort()
