A repeat of keyed work is not sent once its window is over, whatever it waited for

Each second attempt stayed in its group and began inside the window (0.83 to 0.95 s after the first), then waited for a connection that came up late, so its last byte came after the window. Ruled out: the choice of upstreams (cells alike), the count of the window from the first attempt that may have run. At fault: Balancer.send and Out.render, which asked for the window when the attempt was decided and not when it is written. Change: Send says until when it may be whole (until_us); the engine asks again just before the first byte, and ends at that moment what is dialling or half written, as NOT_SENT, so it is answered at once. gRPC likewise.

--- a/tests/crossings/stand_ins.py
+++ b/tests/crossings/stand_ins.py
@@ -7,7 +7,7 @@
 import threading
 from collections.abc import Iterator
 
-from tests.sockets import LONG_S, Message, Upstream, answer
+from tests.sockets import LONG_S, Message, Upstream, answer, read_message
 
 
 class Gate:
@@ -22,6 +22,44 @@
         return answer(b"ok")
 
 
+class Late(Upstream):
+    """Takes connections up once it is told to: till then those that come hang."""
+
+    def __init__(self, first: int = 0) -> None:
+        self.first = first  # taken up at once; from the request that comes on the last of these on, no more
+        self.opened = threading.Event()
+        self.fillers = [socket.socket() for _ in range(3)]
+        super().__init__()
+        if not first:
+            self.fill()
+
+    def fill(self) -> None:
+        """The backlog: the kernel passes over what comes beyond it, and it is sent again a second later."""
+        self.socket.listen(0)
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.socket.getsockname())
+
+    def accept(self) -> None:
+        for _ in range(self.first):
+            client, _ = self.socket.accept()
+            self.accepted += 1
+            with client.makefile("rb") as file:
+                request = read_message(file)
+                assert request is not None
+                self.requests.append(request)
+                if self.accepted == self.first:
+                    self.fill()
+            client.close()  # it may have run
+        self.opened.wait(LONG_S)
+        super().accept()
+
+    def __exit__(self, *_: object) -> None:
+        super().__exit__()
+        for filler in self.fillers:
+            filler.close()
+
+
 @contextlib.contextmanager
 def narrow() -> Iterator[socket.socket]:
     """A listener whose kernel takes little of what nobody reads."""
--- a/tests/crossings/test_leaving.py
+++ b/tests/crossings/test_leaving.py
@@ -10,14 +10,13 @@
 import select
 import socket
 import struct
-import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
-from tests.crossings.stand_ins import Gate, narrow
+from tests.crossings.stand_ins import Gate, Late, narrow
 from tests.sockets import LONG_S, Client, Sidecar, Upstream, answer, eventually
 
 
@@ -91,28 +90,6 @@
         assert len(upstream.requests) == slots + 1
 
 
-class Late(Upstream):
-    """Takes connections up once it is told to: till then those that come hang."""
-
-    def __init__(self) -> None:
-        self.opened = threading.Event()
-        super().__init__()
-        self.socket.listen(0)
-        self.fillers = [socket.socket() for _ in range(3)]
-        for filler in self.fillers:
-            filler.setblocking(False)
-            filler.connect_ex(self.socket.getsockname())
-
-    def accept(self) -> None:
-        self.opened.wait(LONG_S)
-        super().accept()
-
-    def __exit__(self, *_: object) -> None:
-        super().__exit__()
-        for filler in self.fillers:
-            filler.close()
-
-
 @LEAVES
 def test_while_its_connection_to_the_upstream_comes_up(leaves: Leaves) -> None:
     """The settings forbid cancel."""
--- a/tests/crossings/test_time_out.py
+++ b/tests/crossings/test_time_out.py
@@ -74,12 +74,13 @@
 
 
 @pytest.mark.parametrize(("how", "outcome"), [
-    ("its time is out", api.Outcome.CONNECT_FAILED), ("its client left", api.Outcome.NOT_SENT)])
+    ("its time is out", api.Outcome.CONNECT_FAILED), ("its client left", api.Outcome.NOT_SENT),
+    ("its window is over", api.Outcome.NOT_SENT)])
 def test_what_is_half_written_ends_with_its_request_and_is_held_against_who_took_none(
         how: str, outcome: api.Outcome) -> None:
     async def test(listener: socket.socket) -> None:
         engine, decisions = engine_of(lambda event: (
-            [api.Send(event.request, 1, 0)] if isinstance(event, api.RequestArrived) else []))
+            [api.Send(event.request, 1, 0, 1 << 60)] if isinstance(event, api.RequestArrived) else []))
         engine.pool.update([Host(api.Upstream(1), listener.getsockname())], whole=True)
         asked = call(engine)
         asked.body = bytes(BODY)
@@ -90,11 +91,16 @@
             pass
         if how == "its client left":
             engine.gone(ident)
-        else:
+        elif how == "its time is out":
             engine.overdue(ident)
+        else:
+            (attempt,) = engine.requests[ident].attempts
+            assert attempt is not None
+            attempt.lapse()
+            engine.give_up(ident)
         ended = [event for event in decisions.events if isinstance(event, api.AttemptEnded)]
         assert [event.outcome for event in ended] == [outcome] and not engine.requests
-        assert replies == ([] if how == "its client left" else [504])
+        assert replies == {"its client left": [], "its time is out": [504], "its window is over": [502]}[how]
         upstream.close()
 
     with narrow() as listener:
--- a/wickspread/decisions/balance.py
+++ b/wickspread/decisions/balance.py
@@ -647,6 +647,9 @@
         if not (self.may_send(request) and self.in_group(request, server) and self.open_slots(server) > 0):
             self.finish(request)
             return
+        first, kind = request.first_that_may_have_run(), request.kind
+        # rule 2: what waits for a connection, or is half written, may still go out when its window is over
+        until_us = first.sent_us + kind.memory_us if first and kind.effect == "deduplicated" else 0
         request.attempts.append(Attempt(server, self.now_us, server.shelf is self.fleet.cold))
         self.servers.setdefault(server.entry.id, server)
         server.slots.used += 1
@@ -655,9 +658,8 @@
         self.fleet.touch(server, self.now_us)
         server.crowd = None if server.crowd is None else server.crowd + 1.0
         left_us, usual_us = request.until_us - self.now_us, self.usual_us(request)
-        may_follow = request.kind.effect != "at_most_once"
-        timeout_us = min(left_us, usual_us) if may_follow else left_us
-        self.actions.append(api.Send(request.event.request, server.entry.id, timeout_us))
+        timeout_us = left_us if kind.effect == "at_most_once" else min(left_us, usual_us)
+        self.actions.append(api.Send(request.event.request, server.entry.id, timeout_us, until_us))
         if usual_us < timeout_us:
             self.wake(self.now_us + usual_us, "slot", request.event.request)
 
--- a/wickspread/decisions/interface.py
+++ b/wickspread/decisions/interface.py
@@ -287,6 +287,7 @@
     request: int
     upstream: int
     timeout_us: int = 0  # 0 = until the client quits
+    until_us: int = 0  # rule 2: not whole with the upstream by then, it is given up; 0 = whenever it is
 
 
 @dataclass(slots=True)
--- a/wickspread/engine/engine.py
+++ b/wickspread/engine/engine.py
@@ -254,14 +254,16 @@
         call, attempt = entry.call, len(entry.attempts)
         entry.attempts.append(None)
         entry.out += 1
-        out = Out(self, entry, ident, attempt, action.upstream, now_us)
+        out = Out(self, entry, ident, attempt, action, now_us)
         most_us = call.due_us - now_us if call.upload is None else call.after_us
         timeout_us = min(action.timeout_us or most_us, most_us)
-        if entry.answered or timeout_us <= 0 or attempt >= self.settings.max_attempts or (
+        if out.left_us() <= 0 or timeout_us <= 0 or attempt >= self.settings.max_attempts or (
                 entry.out > 1 and not self.settings.second_copies) or (
                 call.upload is not None and call.upload.taken):
             out.ended(api.Outcome.NOT_SENT, None)
             return
+        if action.until_us:
+            out.window = self.later(action.until_us, out.lapse)
         if call.carrier is not None:
             carried = entry.attempts[attempt] = call.carrier.attempt(out.left_us, out.ended, out.began)
             carried.start(action.upstream, timeout_us / 1e6)
@@ -325,20 +327,30 @@
 class Out:
     """One attempt that is out, and what its end means for its request."""
 
-    __slots__ = ("engine", "entry", "ident", "attempt", "upstream", "sent_us")
+    __slots__ = ("engine", "entry", "ident", "attempt", "upstream", "sent_us", "until_us", "window")
 
-    def __init__(self, engine: Engine, entry: Entry, ident: int, attempt: int, upstream: int,
+    def __init__(self, engine: Engine, entry: Entry, ident: int, attempt: int, action: api.Send,
                  now_us: int) -> None:
         self.engine = engine
         self.entry = entry
         self.ident = ident  # of its request
         self.attempt = attempt  # its number
-        self.upstream = upstream
+        self.upstream = action.upstream
         self.sent_us = now_us
+        self.until_us = action.until_us
+        self.window: Timer | None = None  # ends with what the settings remember of an earlier attempt
 
     def left_us(self) -> int:
-        """Asked for just before the first byte: by then the request may be over, or its time."""
-        return 0 if self.entry.answered else max(0, self.entry.call.due_us - self.engine.clock.now_us())
+        """Asked for just before the first byte: by then the request may be over, its time, or its window."""
+        now_us = self.engine.clock.now_us()
+        if self.entry.answered or (self.until_us and now_us >= self.until_us):
+            return 0
+        return max(0, self.entry.call.due_us - now_us)
+
+    def lapse(self) -> None:
+        attempt = self.entry.attempts[self.attempt]
+        if attempt is not None:
+            attempt.lapse()
 
     def render(self) -> list[bytes] | None:
         call, left_us = self.entry.call, self.left_us()
@@ -388,6 +400,8 @@
 
     def tell_end(self, outcome: api.Outcome, load: bytes) -> None:
         engine, entry = self.engine, self.entry
+        if self.window is not None:
+            self.window.cancel()
         if entry.answered and entry.out == 0:
             engine.requests.pop(self.ident, None)
         elapsed_us = engine.clock.now_us() - self.sent_us
--- a/wickspread/engine/seams.py
+++ b/wickspread/engine/seams.py
@@ -44,6 +44,9 @@
     def forgo(self, outcome: api.Outcome) -> None:
         """Its request is over: what the kernel has not whole goes no further, and ends so."""
 
+    def lapse(self) -> None:
+        """Rule 2's window is over: what the kernel has not whole goes no further, and ends as NOT_SENT."""
+
 
 class Started(Attempt, Protocol):
     def start(self, upstream: int, timeout_s: float) -> None: ...
--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -96,6 +96,11 @@
     def forgo(self, outcome: api.Outcome) -> None:
         """Its relay gives up what is out as soon as the call is over."""
 
+    def lapse(self) -> None:
+        """It must not go out any more."""
+        if not self.handed:
+            self.finish(api.Outcome.NOT_SENT)
+
     def start(self, upstream: int, timeout_s: float) -> None:
         if not self.source.again():
             self.finish(api.Outcome.NOT_SENT)
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -101,6 +101,11 @@
         if connection is not None and not connection.written:
             self.finish(outcome)
 
+    def lapse(self) -> None:
+        """It must not go out any more. A dial that comes up later serves the next one."""
+        if self.connection is None or not self.connection.written:
+            self.finish(api.Outcome.NOT_SENT)
+
     def expire(self) -> None:
         """We stop waiting. What was not written whole has never run."""
         connection = self.connection
