The time to begin one answer never begins the next one on its connection

Checked: log lines at each end of a client's connection and of an upstream's. The one that was lost had been begun 100 ms after the answer before it on that connection, with no byte of its own (raw 0, still in the head), and was cut 1.1 s later when the upstream reset. At fault: Connection.open, which forgot the timer of FIRST_S without cancelling it when an answer of unknown length grew large before that time. The connection was reused, the timer fired in the next exchange and passed a 200 on of which nothing had come, also for unsafe work. Change: one watch, cancelled whenever another takes its place or the exchange ends.

--- a/tests/crossings/test_answers.py
+++ b/tests/crossings/test_answers.py
@@ -1,4 +1,4 @@
-"""A second answer crosses the next request on its connection. docs/design/crossings.md."""
+"""What is left of one request crosses the next one on its connection. docs/design/crossings.md."""
 
 from __future__ import annotations
 
@@ -10,8 +10,9 @@
 
 from tests.sockets import LONG_S, Message, Upstream, answer
 from wickspread.decisions import interface as api
+from wickspread.engine.bodies import KEEP
 from wickspread.engine.seams import Answer, Host
-from wickspread.http1.upstream import ODD_REST_S, REST_S, Connection, Exchange, Pool
+from wickspread.http1.upstream import FIRST_S, ODD_REST_S, REST_S, Connection, Exchange, Pool
 
 
 def host_of(upstream: Upstream) -> Host:
@@ -93,3 +94,75 @@
 
     with Upstream(script=script) as upstream:
         uvloop.run(asyncio.wait_for(test(upstream), LONG_S))
+
+
+class Sunk:
+    """Where a large answer goes."""
+
+    def __init__(self) -> None:
+        self.got, self.ends = b"", asyncio.Event()
+
+    def write(self, data: bytes) -> None:
+        self.got += data
+
+    def waits(self) -> bool:
+        return False
+
+    def end(self) -> None:
+        self.ends.set()
+
+    def fail(self) -> None:
+        raise AssertionError("it came whole")
+
+
+def test_the_time_to_begin_an_answer_never_begins_the_next_ones() -> None:
+    """An answer of unknown length begins small, so a time is set at which it is passed on as it is. It grows
+    large before, is passed on for that and ends; the next one on that connection takes longer than that time.
+    It was begun when nothing of it had come, also where its work could not be repeated."""
+    async def test(listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        pool = Pool(connect_s=LONG_S, idle_s=5.0, most=8)
+        pool.update([Host(api.Upstream(1), listener.getsockname())], whole=True)
+        sunk: list[Sunk] = []
+        ends: list[tuple[api.Outcome, Answer | None]] = []
+
+        def opens(head: bytes, length: int | None, load: bytes, source: object) -> Sunk:
+            sunk.append(Sunk())
+            return sunk[-1]
+
+        def exchange(body: bytes) -> Exchange:
+            one = Exchange(lambda: request(body), lambda *end: ends.append(end), None, opens)
+            pool.start(1, one, LONG_S)
+            return one
+
+        first = exchange(b"first")
+        upstream, _ = await loop.sock_accept(listener)
+        await loop.sock_recv(upstream, 1000)
+        connection = first.connection
+        assert connection is not None
+        await loop.sock_sendall(upstream, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n")
+        while connection.watch is None:
+            await asyncio.sleep(0)
+        began_s = loop.time()
+        await loop.sock_sendall(upstream, b"%x\r\n%s\r\n0\r\n\r\n" % (2 * KEEP, bytes(2 * KEEP)))
+        while not sunk:
+            await asyncio.sleep(0)
+        await sunk[0].ends.wait()
+        assert sunk[0].got == b"x" + bytes(2 * KEEP) and not ends
+        connection.idle_since -= REST_S
+        second = exchange(b"second")
+        assert second.connection is connection
+        await loop.sock_recv(upstream, 1000)
+        while loop.time() < began_s + 2 * FIRST_S:
+            await asyncio.sleep(0.001)
+        assert not ends and len(sunk) == 1
+        await loop.sock_sendall(upstream, answer(b"second"))
+        while not ends:
+            await asyncio.sleep(0)
+        assert ends[0][1] is not None and ends[0][1].body == b"second" and len(sunk) == 1
+        pool.close()
+        upstream.close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        uvloop.run(asyncio.wait_for(test(listener), LONG_S))
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -290,9 +290,10 @@
 
     def open(self) -> None:
         """Pass on what has come, and what will. The exchange has ended well; its connection stays in use."""
-        exchange, self.watch = self.exchange, None
+        exchange = self.exchange
         if exchange is None or exchange.opens is None or self.flow is not None:
             return
+        self.unwatch()  # hazard: it would open the next exchange's answer, of which nothing has come
         if exchange.done:  # nobody waits for it any more
             self.close()
             return
@@ -312,6 +313,11 @@
             self.flow.write(body)
         self.watch = self.loop.call_later(STALL_S / 2, self.stalled)
 
+    def unwatch(self) -> None:
+        if self.watch is not None:
+            self.watch.cancel()
+            self.watch = None
+
     def stalled(self) -> None:
         if self.flow is not None and self.flow.waits():
             self.moved = self.loop.time()
@@ -398,9 +404,7 @@
     def finish(self) -> None:
         exchange = self.exchange
         assert exchange is not None
-        if self.watch is not None:
-            self.watch.cancel()
-            self.watch = None
+        self.unwatch()
         if self.flow is not None:
             flow, self.flow, self.exchange, exchange.connection = self.flow, None, None, None
             self.resume()
