A connection that ends at the moment it is given up gives its place back, once

Seen: a dial that is up when its time is out in the same turn of the loop: uvloop closes the connection and tells nobody, so Pool.open and Host.open stayed one too high for good (probe: open 1, no connection_lost). Each costs a descriptor's place, and the upstream is never forgotten. And: one that ends while it rests for a request that is given up went back among the idle ones, where it makes no room at the limit. At fault: Pool.dial and gRPC's Nodes.dial, which waited for connection_lost; Connection.park. Change: a connection's end counts once, whoever tells it first; a failed dial tells it itself; a lost one is not kept.

--- a/wickspread/grpc/nodes.py
+++ b/wickspread/grpc/nodes.py
@@ -243,6 +243,7 @@
         self.partial: dict[Attempt, None] = {}  # more of the request is to come
         self.touched: dict[Attempt, None] = {}  # answers that this read has brought more of
         self.retired = False
+        self.lost = False  # its place is free again
         self.heard = self.rested = self.loop.time()
         self.asked = 0.0  # when a PING was sent that nothing has followed
 
@@ -380,7 +381,9 @@
             self.transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.retired = True
+        if self.lost:
+            return
+        self.lost = self.retired = True
         if self in self.host.shared:
             self.host.shared.remove(self)
         self.nodes.connections.discard(self)
@@ -484,10 +487,9 @@
             if ours:
                 self.pool.complain(f"no connection could be opened: {error}")
             waiting, connection.waiting = connection.waiting, []
-            if connection.transport is None:
-                connection.connection_lost(error)
-            else:
+            if connection.transport is not None:
                 connection.transport.abort()
+            connection.connection_lost(error)  # hazard: of one that came up just now the loop never says so
             for attempt in waiting:
                 if ours:
                     attempt.finish(api.Outcome.NOT_SENT)
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -161,6 +161,7 @@
         self.began = self.idle_since = self.moved = 0.0
         self.complete = self.keep = self.to_end = False
         self.ours = False  # it ends by our doing
+        self.lost = False  # its place is free again
         self.watch: asyncio.TimerHandle | None = None  # of an answer under way
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -430,7 +431,7 @@
     def park(self) -> None:
         """Back to the pool, unless the upstream has restarted, left or is not to be used any more."""
         host = self.host
-        if self.generation != host.generation or not host.wanted():
+        if self.lost or self.generation != host.generation or not host.wanted():
             self.close()
             return
         self.idle_since = self.loop.time()
@@ -455,10 +456,12 @@
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
+        if self.lost:
+            return
+        self.lost = True
         self.leave()
         self.pool.closed(self.host)
-        if self.watch is not None:
-            self.watch.cancel()
+        self.unwatch()
         whole = error is None and self.exchange is not None and self.to_end and not self.in_head
         if whole and not self.complete and not self.ours:
             self.complete, self.keep, self.status = True, False, self.parser.get_status_code()
@@ -581,10 +584,8 @@
             async with asyncio.timeout(self.connect_s):
                 await self.loop.create_connection(partial(itself, connection), *host.dial)
         except (OSError, TimeoutError, ValueError) as error:  # ValueError: a name that is none
-            if connection.transport is None:
-                self.closed(host)
-            else:
-                connection.close()
+            connection.close()
+            connection.connection_lost(error)  # hazard: of one that came up just now the loop never says so
             ours = isinstance(error, OSError) and error.errno in LOCAL_ERRORS
             if ours:
                 self.complain(f"no connection could be opened: {error}")
