A watch is not presumed silent while what it told waits unread

Need: read line by line: the time for silence against a change of the list. Seen: what comes between the loop's look at its sockets and its timers (forced: a reader that holds the loop up) lies unread when the time is out; the watch was closed on top of it. It counts as told when it was written, and with discovery down nobody tells it again. Ruled out: a loop held up elsewhere in its turn; it reads before it looks at its timers. At fault: Call.listen, whose timer failed the call without a look at the kernel. Change: the timer looks first; what waits is read in the same turn. Measured: the new case of test_what_has_come_on_a_watch_is_heeded_though_another_takes_its_place fails without it.

--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -11,6 +11,7 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -22,6 +23,7 @@
 from wickspread.decisions import interface as api
 from wickspread.engine.seams import Host
 from wickspread.http1.upstream import input_poll
+from wickspread.roster.discovery import SILENCE_S
 from wickspread.roster.discovery import Discovery as Watcher
 from wickspread.roster.listing import Directory
 
@@ -120,9 +122,10 @@
         return {}
 
 
-@pytest.mark.parametrize("left", ["moved", "asked again"])
+@pytest.mark.parametrize("left", ["moved", "asked again", "presumed silent"])
 def test_what_has_come_on_a_watch_is_heeded_though_another_takes_its_place(left: str) -> None:
-    """The lines are in the kernel, and the loop has not looked: they have been told, and were dropped."""
+    """The lines are in the kernel, and the loop has not looked: they have been told, and were dropped. Held
+    up for long, the loop meets the time for silence before them."""
     async def test(listener: socket.socket) -> None:
         sink, loop = Sink(), asyncio.get_running_loop()
         watcher = Watcher(listener.getsockname(), Directory(told), 0, pushed=False)
@@ -133,14 +136,29 @@
         agent.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line(7, entry("one"))))
         while not sink.heard:
             await asyncio.sleep(0)
-        agent.sendall(chunk(line(8, entry("one", "terminating")) + line(9, entry("two", "terminating"))))
         assert watcher.watch is not None and watcher.watch.transport is not None
         waits = input_poll(watcher.watch.transport)
-        assert waits.poll(LONG_S * 1000)  # it is there, and the loop has had no turn
+
+        def tell() -> None:
+            agent.sendall(chunk(line(8, entry("one", "terminating")) + line(9, entry("two", "terminating"))))
+            assert waits.poll(LONG_S * 1000)  # it is there, and the loop has had no turn
+
+        def hold_up() -> None:
+            loop.remove_reader(other)
+            tell()
+            time.sleep(SILENCE_S + 0.1)
+
+        if left != "presumed silent":
+            tell()
         if left == "moved":
             watcher.move(("127.0.0.1", 1))
-        else:
+        elif left == "asked again":
             watcher.subscribe(True)
+        else:
+            loop.add_reader(other, hold_up)  # in the part of the turn that comes just before that of timers
+            one.send(b"x")
+            while len(sink.heard) < 3 and not sink.failures:
+                await asyncio.sleep(0)
         assert sink.heard[1:] == [(8, api.UpstreamState.DRAINING), (9, api.UpstreamState.DRAINING)]
         # hazard: an old discovery's version would have the new one leave out what is not known
         assert watcher.version == (0 if left == "moved" else 9)
@@ -152,7 +170,8 @@
         return {"host": name, "dial": "127.0.0.1:1", "site": "a", "block": 0, "health": health}
 
     told = settings()
-    with socket.create_server(("127.0.0.1", 0)) as listener:
+    one, other = socket.socketpair()
+    with one, other, socket.create_server(("127.0.0.1", 0)) as listener:
         listener.setblocking(False)
         uvloop.run(asyncio.wait_for(test(listener), LONG_S))
 
--- a/wickspread/roster/discovery.py
+++ b/wickspread/roster/discovery.py
@@ -17,7 +17,7 @@
 from wickspread.engine.address import Address
 from wickspread.engine.collector import Collector
 from wickspread.engine.seams import Host, Sink
-from wickspread.http1.upstream import MAX_HEAD
+from wickspread.http1.upstream import MAX_HEAD, input_poll
 from wickspread.roster.listing import SLICE, Directory, ListError, Objects, Reading, changes
 
 log = logging.getLogger("wickspread")
@@ -236,7 +236,7 @@
         self.objects = Objects()
         self.head = MAX_HEAD  # bytes that it may still take
         self.parser = httptools.HttpResponseParser(self)
-        self.silence = owner.loop.call_later(self.patience_s(), self.fail, "silence")
+        self.silence = owner.loop.call_later(self.patience_s(), self.silent)
         owner.calls.add(self)
         self.task = owner.loop.create_task(self.connect())
 
@@ -327,7 +327,15 @@
 
     def listen(self) -> None:
         self.silence.cancel()
-        self.silence = self.owner.loop.call_later(self.patience_s(), self.fail, "silence")
+        self.silence = self.owner.loop.call_later(self.patience_s(), self.silent)
+
+    def silent(self) -> None:
+        """Hazard: a loop that was held up meets its timers before what has come meanwhile."""
+        transport = self.transport
+        if transport is not None and not transport.is_closing() and input_poll(transport).poll(0):
+            self.listen()
+        else:
+            self.fail("silence")
 
     def on_message_complete(self) -> None:
         if not self.watching and not self.over:
