A connection rests 5 ms between two requests by a clock that does not round

The rest was 4 ms by the loop's clock, which has whole milliseconds and stands during a turn: 3.2 ms of 60 measured ones, so one in some could be served as the next request's answer (lost). At fault: Connection.rest_left_s and park, which read loop.time(). Change: time.monotonic(), 5 ms, and the timer that waits for it asks again. Measured: test_a_connection_rests_by_a_clock_that_neither_rounds_nor_stands fails on the tree before (3.2 ms).

--- a/tests/crossings/test_answers.py
+++ b/tests/crossings/test_answers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from typing import cast
 
 import uvloop
@@ -80,11 +81,15 @@
         assert not host.idle and host.odd
         await exchange()
         (one,) = [cast(Connection, idle) for idle in host.idle]
-        one.idle_since = pool.loop.time() - ODD_REST_S / 2  # no shorter: here no time passes
+        before_s = time.monotonic()
+        over_s = one.rest_left_s() + before_s
+        assert one.idle_since + ODD_REST_S >= over_s >= one.idle_since + ODD_REST_S - (
+            time.monotonic() - before_s)
+        one.idle_since += LONG_S  # however busy the machine is, it rests
         await exchange()
         assert upstream.accepted == 3  # a new one
         for each in host.idle:
-            cast(Connection, each).idle_since = pool.loop.time() - ODD_REST_S
+            cast(Connection, each).idle_since = time.monotonic() - ODD_REST_S
         await exchange()
         assert upstream.accepted == 3
         restarted = Host(api.Upstream(1, started_us=9), host.dial)
@@ -166,3 +171,36 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         listener.setblocking(False)
         uvloop.run(asyncio.wait_for(test(listener), LONG_S))
+
+
+def test_a_connection_rests_by_a_clock_that_neither_rounds_nor_stands() -> None:
+    """The loop's clock has whole milliseconds and stands during a turn: by it a second answer 4 ms late could
+    meet the next request after 3."""
+    async def test(upstream: Upstream) -> None:
+        pool = Pool(connect_s=LONG_S, idle_s=5.0, most=8)
+        pool.update([host_of(upstream)], whole=True)
+        answered, rested = [0.0], []
+
+        async def exchange(busy_s: float) -> None:
+            done = asyncio.Event()
+
+            def render() -> list[bytes]:
+                rested.append(time.monotonic() - answered[-1])
+                return request(b"x")
+
+            def ended(outcome: api.Outcome, found: Answer | None) -> None:
+                answered.append(time.monotonic())
+                done.set()
+
+            time.sleep(busy_s)  # the loop's clock falls back
+            pool.start(1, Exchange(render, ended), LONG_S)
+            await done.wait()
+
+        await exchange(0.0)
+        for turn in range(60):
+            await exchange(turn % 6 / 1000)
+        assert min(rested[1:]) >= REST_S - 0.0005 and upstream.accepted == 1  # its parking is just before
+        pool.close()
+
+    with Upstream() as upstream:
+        uvloop.run(asyncio.wait_for(test(upstream), LONG_S))
--- a/tests/crossings/test_dials.py
+++ b/tests/crossings/test_dials.py
@@ -72,7 +72,7 @@
         pool.start(1, Exchange(lambda: request(b"x"), lambda outcome, found: first.set()), LONG_S)
         await first.wait()
         (connection,) = [cast(Connection, idle) for idle in host.idle]
-        connection.idle_since = pool.loop.time() + 1.0  # no turn of the loop is to see it rested
+        connection.idle_since = time.monotonic() + LONG_S  # no turn of the loop is to see it rested
         waits = Exchange(lambda: request(b"y"), lambda outcome, found: None)
         pool.start(1, waits, LONG_S)
         assert not host.idle and waits.connection is None  # kept for it
--- a/wickspread/http1/upstream.py
+++ b/wickspread/http1/upstream.py
@@ -6,6 +6,7 @@
 import errno
 import logging
 import select
+import time
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
@@ -27,9 +28,9 @@
 STALL_S = 10.0  # no byte of a body moves for so long: it is given up
 SWEEP_S = 0.25
 # What a connection rests between two requests, and where the upstream has been out of step with us. Hazard: a
-# second answer that comes late, by milliseconds, would be taken for the next request's. The short rest is
-# waited for, as a new connection takes about as long; instead of the long one a new one is opened.
-REST_S = 0.004
+# second answer that comes late, by 1 to 4 ms, would be taken for the next request's. The short rest is waited
+# for, as a new connection takes about as long; instead of the long one a new one is opened.
+REST_S = 0.005
 ODD_REST_S = 0.05
 # Ours, not the upstream's: too many descriptors, no memory, no free port.
 LOCAL_ERRORS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
@@ -158,7 +159,9 @@
         self.fed = False  # nothing of the request is still to come
         self.flow: Flow | None = None  # where the answer goes that is passed on as it comes
         self.held = False  # ... and is not read just now
-        self.began = self.idle_since = self.moved = 0.0
+        self.began = self.moved = 0.0
+        # monotonic. Hazard: the loop's clock has whole milliseconds, and stands for as long as a turn takes
+        self.idle_since = 0.0
         self.complete = self.keep = self.to_end = False
         self.ours = False  # it ends by our doing
         self.lost = False  # its place is free again
@@ -172,12 +175,15 @@
         self.poll = input_poll(transport)
 
     def rest_left_s(self) -> float:
-        return self.idle_since + (ODD_REST_S if self.host.odd else REST_S) - self.loop.time()
+        return self.idle_since + (ODD_REST_S if self.host.odd else REST_S) - time.monotonic()
 
     def rested(self, exchange: Exchange) -> None:
         """It has been kept for this one till now."""
+        left_s = self.rest_left_s()
         if exchange.done:
             self.park()
+        elif left_s > 0.0 and not self.host.odd:  # that timer counted by the loop's clock
+            self.pool.timers.later(left_s, self.rested, exchange)
         elif self.usable() and not self.host.odd and self.generation == self.host.generation:
             self.begin(exchange)
         else:
@@ -186,9 +192,8 @@
 
     def usable(self) -> bool:
         """Hazard: an upstream's close may be waiting unread; a request written after it is a reset."""
-        now = self.loop.time()
         return (self.transport is not None and not self.transport.is_closing()
-                and now - self.idle_since < self.pool.idle_s and not self.poll.poll(0))
+                and time.monotonic() - self.idle_since < self.pool.idle_s and not self.poll.poll(0))
 
     def begin(self, exchange: Exchange) -> None:
         data = exchange.render() if self.host.wanted() else None
@@ -434,7 +439,7 @@
         if self.lost or self.generation != host.generation or not host.wanted():
             self.close()
             return
-        self.idle_since = self.loop.time()
+        self.idle_since = time.monotonic()
         host.idle[self] = self.pool.idle[self] = None
 
     def release(self) -> None:
@@ -620,7 +625,7 @@
             self.hosts[upstream].close_idle()
 
     def sweep(self) -> None:
-        oldest = self.loop.time() - self.idle_s
+        oldest = time.monotonic() - self.idle_s
         while self.idle and (first := next(iter(self.idle))).idle_since <= oldest:
             first.close()
         self.sweep_timer = self.loop.call_later(SWEEP_S, self.sweep)
