--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -27,7 +27,8 @@
 MS = 1000
 S = 1_000_000
 BOUNDS = Bounds({"buy": Kind("at_most_once"), "topup": Kind("deduplicated", "cell", 8 * S),
-                 "mark": Kind("deduplicated", "all", 8 * S), "read": Kind("idempotent")})
+                 "mark": Kind("deduplicated", "all", 8 * S), "read": Kind("idempotent"),
+                 "send": Kind("deduplicated", "zone", 8 * S)})
 
 
 def asked(kind: str = "buy", request: str = "r", operation: str = "o", at: int = 0, due: int = S) -> Asked:
@@ -35,8 +36,8 @@
 
 
 def received(at: int, node: str = "a", request: str = "r", cell: int = 1, taken: bool = True,
-             work: int = 20 * MS) -> Received:
-    return Received(at, at - 1, request, node, cell, taken, work)
+             work: int = 20 * MS, site: str = "s") -> Received:
+    return Received(at, at - 1, request, node, cell, taken, work, site)
 
 
 def answered(at: int, status: int = 200, request: str = "r") -> Answered:
@@ -56,6 +57,7 @@
     [asked("topup"), received(5 * MS), received(90 * MS, "b"), answered(200 * MS)],
     [asked("topup"), received(5 * MS, taken=False), received(90 * MS, "b", cell=2), answered(200 * MS)],
     [asked("mark"), received(5 * MS), received(90 * MS, "b", cell=2), answered(200 * MS, 503)],
+    [asked("send"), received(5 * MS), received(90 * MS, "b", cell=2), answered(200 * MS)],
     [asked("read"), received(5 * MS), received(90 * MS, "b", cell=2), answered(200 * MS, 503)],
     [asked(), answered(5 * MS, 503), asked(request="r2", at=90 * MS, due=2 * S),
      received(99 * MS, request="r2"), answered(120 * MS, request="r2")],
@@ -81,6 +83,8 @@
     (2, [asked(), received(5 * MS), answered(20 * MS, 429)]),
     (2, [asked("topup"), received(5 * MS), answered(20 * MS, 503)]),
     (2, [asked("topup"), received(5 * MS), received(9 * MS, "b", cell=2), answered(60 * MS)]),
+    (2, [asked("send"), received(5 * MS), received(9 * MS, "b", site="t"), answered(60 * MS)]),
+    (2, [asked("send"), received(5 * MS), answered(20 * MS, 503)]),
     (2, [asked("topup", due=20 * S), received(5 * MS), received(8 * S + 57 * MS, "b"), answered(9 * S)]),
     (2, [asked(), received(5 * MS), answered(S, 502), asked(request="r2", at=S, due=2 * S),
          received(S + 5 * MS, request="r2"), answered(S + 9 * MS, request="r2")]),
--- a/wickspread/lab/checker.py
+++ b/wickspread/lab/checker.py
@@ -16,7 +16,7 @@
     """What the rules have to know of a class."""
 
     effect: str  # idempotent, deduplicated or at_most_once
-    group: str = "all"  # deduplicated: all or cell
+    group: str = "all"  # deduplicated: all, zone or cell
     memory_us: int = 0
 
 
@@ -142,6 +142,8 @@
         if kind.effect == "deduplicated" and kind.group == "cell" and one.cell != taken[0].cell:
             found.append(Breach(2, one.at_us, f"{name}: keyed, sent to cell {one.cell} after cell "
                                               f"{taken[0].cell}"))
+        if kind.effect == "deduplicated" and kind.group == "zone" and one.site != taken[0].site:
+            found.append(Breach(2, one.at_us, f"{name}: keyed, sent to {one.site} after {taken[0].site}"))
         if (kind.effect == "deduplicated"
                 and one.first_us > taken[0].at_us + kind.memory_us + bounds.slack_us):
             found.append(Breach(2, one.at_us, f"{name}: keyed, repeated when its nodes had forgotten it"))
--- a/wickspread/lab/ledger.py
+++ b/wickspread/lab/ledger.py
@@ -59,6 +59,7 @@
     cell: int
     taken: bool  # False: turned away unseen, and the node says so
     work_us: int  # on one of the node's cores when warm
+    site: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/wickspread/lab/nodes.py
+++ b/wickspread/lab/nodes.py
@@ -164,7 +164,8 @@
         was_up = not self.capacity.fallen
         taken = self.trouble.silent or failing or (
             fate != "declined" and self.capacity.offer(request.last_us, job, work_us))
-        self.record(Received(request.last_us, request.first_us, ident, self.name, self.cell, taken, work_us))
+        self.record(Received(request.last_us, request.first_us, ident, self.name, self.cell, taken, work_us,
+                             self.site))
         if self.capacity.fallen and was_up:
             self.record(Fell(request.last_us, self.name))
             self.stop()
--- a/wickspread/lab/scene.py
+++ b/wickspread/lab/scene.py
@@ -53,6 +53,12 @@
     probes: bool = False  # the settings allow them
     cores: tuple[int, ...] = ()  # of the nodes in turn; none = the machine's
     return_s: float = 2.0  # the longest time to come back that clients may be told
+    pushed: bool = False  # lists are; else they are asked for
+    drain_s: float = 2.0  # the grace of drains
+    idle_s: float = 5.0  # of connections to nodes
+    cancel: bool = True
+    retry_after: bool = True
+    second_copies: bool = True
     keep_nodes: bool = True  # record what nodes see; off for long measurements
 
 
@@ -64,19 +70,23 @@
         classes.append({
             "name": load.kind, "aim": str(int(load.deadline_s * 333_000)),
             "deadline": str(int(load.deadline_s * 1e6)), "worth": str(load.worth), "late-worth": "0.3",
-            "effect": load.effect, "group": "cell" if keyed else "all",
-            "memory-span": "8000000" if keyed else "0", "stream": "false", "aim-stretch": "0"})
+            "effect": load.effect, "group": load.group if keyed else "all",
+            "memory-span": str(int(load.memory_s * 1e6)) if keyed else "0", "stream": "false",
+            "aim-stretch": "0"})
     machine = plan.machine
     return {
         "areas": list(plan.sites), "kinds": ["lab"], "instances": str(plan.instances or plan.sidecars),
         "self-index": str(index), "locality": str(index % len(plan.sites)), "granularity": "1000",
-        "registry-mode": "on_request", "request-classes": classes, "weights": "none",
+        "registry-mode": "pushed" if plan.pushed else "on_request", "request-classes": classes,
+        "weights": "none",
         "report": {"how": "none", "names": ""}, "fees": {"cross-zone": "0.02"},
-        "bounds": {"cancel": "true", "probes": str(plan.probes).lower(), "retry-after": "true",
-                   "second-copies": "true", "peers": "false", "most-tries": "4",
-                   "dial-timeout": "200000", "conn-idle": "5000000",
+        "bounds": {"cancel": str(plan.cancel).lower(), "probes": str(plan.probes).lower(),
+                   "retry-after": str(plan.retry_after).lower(),
+                   "second-copies": str(plan.second_copies).lower(), "peers": "false", "most-tries": "4",
+                   "dial-timeout": "200000", "conn-idle": str(int(plan.idle_s * 1e6)),
                    "max-retry-after": str(int(plan.return_s * 1e6))},
-        "invariants": {"ask-within": "10000000", "cold-share": str(machine.cold_share),
+        "invariants": {"ask-within": "10000000", "drain-grace": str(int(plan.drain_s * 1e6)),
+                       "cold-share": str(machine.cold_share),
                        "warm-up": str(machine.warm_up_us), "overload-factor": str(machine.multiple),
                        "fall": str(machine.fall_us)},
     }
@@ -84,10 +94,11 @@
 
 def bounds(plan: Plan) -> Bounds:
     """The figures of the rules for the checker."""
-    kinds = {load.kind: Kind(load.effect, "cell" if load.effect == "deduplicated" else "all",
-                             8_000_000 if load.effect == "deduplicated" else 0) for load in plan.loads}
+    kinds = {load.kind: Kind(load.effect, load.group, int(load.memory_s * 1e6))
+             if load.effect == "deduplicated" else Kind(load.effect) for load in plan.loads}
     machine = plan.machine
-    return Bounds(kinds, multiple=machine.multiple, fall_us=machine.fall_us, burst_us=machine.burst_us)
+    return Bounds(kinds, drain_us=int(plan.drain_s * 1e6), multiple=machine.multiple,
+                  fall_us=machine.fall_us, burst_us=machine.burst_us)
 
 
 def machine_of(plan: Plan, number: int) -> Machine:
