--- a/tests/crossings/test_time_out.py
+++ b/tests/crossings/test_time_out.py
@@ -19,21 +19,27 @@
 HEAD = b"POST /pay/1 HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n"
 
 
+async def sent(listener: socket.socket, size: int,
+               ends: list[api.Outcome]) -> tuple[Pool, Exchange, socket.socket]:
+    """A request with a body of so many bytes, as far as the kernel takes it; and the upstream's side."""
+    pool = Pool(connect_s=LONG_S, idle_s=5.0, most=8)
+    pool.update([Host(api.Upstream(1), listener.getsockname())], whole=True)
+    exchange = Exchange(lambda: [HEAD % size, bytes(size)], lambda outcome, answer: ends.append(outcome))
+    pool.start(1, exchange, LONG_S)
+    upstream, _ = await asyncio.get_running_loop().sock_accept(listener)
+    while exchange.connection is None:
+        await asyncio.sleep(0)
+    return pool, exchange, upstream
+
+
 @pytest.mark.parametrize("taken_first", [True, False])
 def test_what_is_told_as_never_sent_never_comes_whole(taken_first: bool) -> None:
     """The upstream takes all that is there, so the kernel has room again, and the time is out: the loop meets
     both in one turn. Told as not sent, an unsafe request is repeated, so its last byte must not go."""
     async def test(listener: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        pool = Pool(connect_s=LONG_S, idle_s=5.0, most=8)
-        pool.update([Host(api.Upstream(1), listener.getsockname())], whole=True)
         ends: list[api.Outcome] = []
-        exchange = Exchange(lambda: [HEAD % BODY, bytes(BODY)], lambda outcome, answer: ends.append(outcome))
-        pool.start(1, exchange, LONG_S)
-        upstream, _ = await loop.sock_accept(listener)
-        while exchange.connection is None:
-            await asyncio.sleep(0)
-        assert not exchange.connection.written and exchange.connection.transport is not None
+        pool, exchange, upstream = await sent(listener, BODY, ends)
+        assert exchange.connection is not None and not exchange.connection.written
         size = 0
 
         def take() -> int:
@@ -115,17 +121,10 @@
     """It reads on: the loop would write the rest before it closes. Told as never sent, unsafe work is
     repeated. If the upstream has read before the loop sees its end, there is room in that very turn."""
     async def test(listener: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        pool = Pool(connect_s=LONG_S, idle_s=5.0, most=8)
-        pool.update([Host(api.Upstream(1), listener.getsockname())], whole=True)
         ends: list[api.Outcome] = []
-        exchange = Exchange(lambda: [HEAD % size, bytes(size)], lambda outcome, answer: ends.append(outcome))
-        pool.start(1, exchange, LONG_S)
-        upstream, _ = await loop.sock_accept(listener)
-        while exchange.connection is None:
-            await asyncio.sleep(0)
+        pool, exchange, upstream = await sent(listener, size, ends)
         whole = len(HEAD % size) + size
-        half = not exchange.connection.written
+        half = exchange.connection is not None and not exchange.connection.written
         upstream.shutdown(socket.SHUT_WR)
         got, closed = 0, False
         if reads == "after":
@@ -144,6 +143,7 @@
             await asyncio.sleep(0)
         assert ends == [api.Outcome.RESET] or (ends == [api.Outcome.CONNECT_FAILED] and got < whole)
         assert ends == [api.Outcome.RESET] if not half else size < BODY or got < whole
+        assert (reads, size) != ("after", BODY) or ends == [api.Outcome.CONNECT_FAILED]
         pool.close()
         upstream.close()
 
