--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,7 +20,7 @@
 from standins.sidecar import Sidecar  # noqa: E402
 from standins.upstream import Upstream, cross_site_s  # noqa: E402
 
-UPSTREAMS = 80
+UPSTREAMS = 70
 HELD = 4
 RATE_PER_S = 200.0
 SUSPEND_S, DRAIN_S, RESTORE_S, END_S = 4.0, 6.0, 12.0, 27.0
