--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import tempfile
 from collections.abc import Awaitable, Callable, Iterable
 from pathlib import Path
@@ -22,9 +23,11 @@
 Play = Callable[[Record, Path, bool], Awaitable[int]]
 
 
-async def play_in_turn(play: Play, record: Record, folder: Path) -> int:
-    """Play a case with the disruption unless TROUBLE is 0."""
-    return await play(record, folder, os.environ.get("TROUBLE") != "0")
+async def play_to_end(play: Play, record: Record, folder: Path) -> int:
+    """Play a case with the disruption unless TROUBLE is 0; SIGTERM cancels it, so that it ends its processes."""
+    task = asyncio.ensure_future(play(record, folder, os.environ.get("TROUBLE") != "0"))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
 
 
 def run_case(here: Path, play: Play) -> int:
@@ -32,9 +35,9 @@
     record = Record(here / "record.txt")
     try:
         with tempfile.TemporaryDirectory() as folder:
-            breaks = asyncio.run(play_in_turn(play, record, Path(folder)))
-    except (CannotRunError, OSError) as error:
-        record.write("check", f"could not run: {error}")
+            breaks = asyncio.run(play_to_end(play, record, Path(folder)))
+    except (CannotRunError, OSError, asyncio.CancelledError) as error:
+        record.write("check", f"could not run: {error!r}")
         return CANNOT_RUN
     finally:
         record.close()
--- a/review/standins/settings.py
+++ b/review/standins/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from typing import Any
 
@@ -70,8 +71,14 @@
     }
 
 
-def free_address(host: str = "127.0.0.1") -> tuple[str, int]:
-    """Return a loopback address whose port is free now."""
+def free_address() -> tuple[str, int]:
+    """Return a loopback address whose port is free now.
+
+    The host is another for each process, and none that connections come from: on 127.0.0.1 an outgoing
+    connection could take the port before the sidecar listens on it.
+    """
+    process = os.getpid()
+    host = f"127.{64 + (process >> 14) % 64}.{(process >> 7) % 128}.{1 + process % 128}"
     with socket.socket() as probe:
         probe.bind((host, 0))
         return host, int(probe.getsockname()[1])
