--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -24,7 +24,7 @@
 
 
 async def play_to_end(play: Play, record: Record, folder: Path) -> int:
-    """Play a case with the disruption unless TROUBLE is 0; SIGTERM cancels it, so that it ends its processes."""
+    """Play a case, with the disruption unless TROUBLE is 0. SIGTERM cancels it: it ends its processes."""
     task = asyncio.ensure_future(play(record, folder, os.environ.get("TROUBLE") != "0"))
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     return await task
