A drain that a large list reports during a suspension counts after RESTORE

What callers saw: an upstream that shuts down got new requests, for as long as its entry did not change, after an operator had suspended it, a list of more than 64 entries had reported its drain, and the operator had restored it.

Cause: a large list is compared with the previous one, so that only changes are passed on (discovery/endpoint_list.py, changes). The comparison used the entry that applies. An override makes that DRAINING, so a reported drain was equal to it and was passed over; the listed entry stayed READY and came into effect when the override ended.

Change: the comparison uses what discovery reported before. ListedUpstream.listed_entry is set from the construction on and never None; is_same_listing compares two reports.

--- a/sidecar_proxy/admin/endpoint_overrides.py
+++ b/sidecar_proxy/admin/endpoint_overrides.py
@@ -45,7 +45,7 @@
         changed_upstreams = []
         for name in {name for name, _ in previous_names.items() ^ names.items()}:
             upstream = listed_upstreams.get(self.directory.numbers.get(name, -1))
-            if upstream is not None and upstream.listed_entry is not None:
+            if upstream is not None:
                 changed_upstreams.append(
                     ListedUpstream(upstream.listed_entry, upstream.address, upstream.grpc_address)
                 )
--- a/sidecar_proxy/consensus/fact_collector.py
+++ b/sidecar_proxy/consensus/fact_collector.py
@@ -79,7 +79,7 @@
         zones = {number: name for name, number in self.directory.zones.items()}
         classes = {number: name for name, number in self.directory.kinds.items()}
         for number, host in self.engine.listed_upstreams().items():
-            upstream = host.listed_entry or host.entry
+            upstream = host.listed_entry
             name = self.directory.names.get(number)
             if name is None or upstream.state is UpstreamState.GONE:
                 continue
@@ -123,7 +123,7 @@
                 continue
             name = permit.target.name
             host = self.find_upstream(name)
-            if host is None or (host.listed_entry or host.entry).state is not UpstreamState.READY:
+            if host is None or host.listed_entry.state is not UpstreamState.READY:
                 continue
             if host.entry.started_us // 1000 <= permit.started_ms:
                 continue
--- a/sidecar_proxy/discovery/endpoint_list.py
+++ b/sidecar_proxy/discovery/endpoint_list.py
@@ -297,24 +297,24 @@
 ) -> Iterator[list[ListedUpstream]]:
     """Yield in slices what a large list changes.
 
-    Endpoints that may get no new requests come first (rule 3). An empty slice only ends a step.
+    It is compared with what discovery reported before, not with what applies: an entry that an override has
+    changed may equal the new one although discovery reports a change. Endpoints that may get no new requests
+    come first (rule 3). An empty slice only ends a step.
     """
     listed_ids = {upstream.entry.id for upstream in listed}
     leaving: list[ListedUpstream] = []
     others: list[ListedUpstream] = []
     for number, upstream in enumerate(listed, 1):
         old = known.get(upstream.entry.id)
-        if (
-            old is None
-            or old.entry != upstream.entry
-            or (old.address, old.grpc_address) != (upstream.address, upstream.grpc_address)
-        ):
+        if old is None or not old.is_same_listing(upstream):
             (others if upstream.entry.state is api.UpstreamState.READY else leaving).append(upstream)
         if number % (8 * SLICE_ENTRIES) == 0:
             yield []
     for number, (upstream_id, upstream) in enumerate(known.items() if is_complete else (), 1):
-        if upstream_id not in listed_ids and upstream.entry.state is not api.UpstreamState.GONE:
-            leaving.append(ListedUpstream(replace(upstream.entry, state=api.UpstreamState.GONE), ("", 0)))
+        if upstream_id not in listed_ids and upstream.listed_entry.state is not api.UpstreamState.GONE:
+            leaving.append(
+                ListedUpstream(replace(upstream.listed_entry, state=api.UpstreamState.GONE), ("", 0))
+            )
         if number % (8 * SLICE_ENTRIES) == 0:
             yield []
     yield from split(leaving)
--- a/sidecar_proxy/engine/engine.py
+++ b/sidecar_proxy/engine/engine.py
@@ -189,8 +189,6 @@
     def list_changed(self, kind: api.ListKind, upstreams: list[ListedUpstream], version: int) -> None:
         """Apply an endpoint list or changes of it."""
         if self.apply_overrides is not None:
-            for upstream in upstreams:
-                upstream.listed_entry = upstream.entry
             self.apply_overrides(upstreams)
         is_full_list = kind in (api.ListKind.FULL, api.ListKind.CACHED)
         self.transport.update(upstreams, is_full_list=is_full_list)
--- a/sidecar_proxy/engine/interfaces.py
+++ b/sidecar_proxy/engine/interfaces.py
@@ -117,21 +117,37 @@
 
 @dataclass(slots=True, eq=False)
 class ListedUpstream:
-    """An upstream of the endpoint list: its list entry, its addresses and its connections."""
+    """An upstream of the endpoint list: its list entry, its addresses and its connections.
 
-    entry: api.Upstream
+    What discovery has reported and what applies are kept apart: an override changes `entry` alone, so that
+    the reported entry applies again when the override ends.
+    """
+
+    entry: api.Upstream  # entry that applies, after overrides by operators
     address: Address
     grpc_address: Address | None = None  # address for gRPC; None = `address`
     multiplexed: list[MultiplexedConnection] = field(default_factory=list)
     idle: dict[IdleConnection, None] = field(
         default_factory=dict
     )  # idle connections, the most recently used one last
-    listed_entry: api.Upstream | None = None  # entry of the endpoint list, before overrides by operators
+    listed_entry: api.Upstream = field(init=False)  # entry that discovery has reported last
     last_received_s: float = 0.0  # loop time of the last byte that the upstream sent
     has_violated_protocol: bool = False  # the upstream has sent a response twice, or without a request
     generation: int = 0  # number of restarts of the upstream
     open_connections: int = 0  # includes connections that are being established
 
+    def __post_init__(self) -> None:
+        """Start without an override."""
+        self.listed_entry = self.entry
+
+    def is_same_listing(self, other: ListedUpstream) -> bool:
+        """Return whether discovery has reported the same entry and addresses, whatever overrides apply."""
+        return (self.listed_entry, self.address, self.grpc_address) == (
+            other.listed_entry,
+            other.address,
+            other.grpc_address,
+        )
+
     def is_ready(self) -> bool:
         """Return whether new requests may be sent to the upstream."""
         return self.entry.state is api.UpstreamState.READY
