An upstream that a complete list removes stays removed when a suspension ends

What callers saw: an upstream that discovery had removed got new requests after RESTORE, if a request to it was still in flight and a complete list of at most 64 entries had removed it.

Cause: ConnectionPool.update set entry to GONE for what a complete list leaves out, but left listed_entry READY; the end of an override puts listed_entry into effect. Found on a path related to the ignored drain, not by a report.

Change: both entries are set.

--- a/sidecar_proxy/http1/upstream.py
+++ b/sidecar_proxy/http1/upstream.py
@@ -668,6 +668,8 @@
             for upstream_id, upstream in list(self.upstreams.items()):
                 if upstream_id not in listed_ids:
                     upstream.entry = replace(upstream.entry, state=api.UpstreamState.GONE)
+                    # Without this, the end of an override would bring the removed upstream back.
+                    upstream.listed_entry = upstream.entry
                     upstream.close_idle()
                     self.remove_if_gone(upstream)
         for new in upstreams:
--- a/tests/admin/test_overrides_and_lists.py
+++ b/tests/admin/test_overrides_and_lists.py
@@ -2,17 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Awaitable, Callable
+import socket
+import threading
 
 import pytest
-import uvloop
 
 from sidecar_proxy.balancer import events as api
 from sidecar_proxy.discovery.endpoint_list import SLICE_ENTRIES
 from tests.admin.admin_sidecar import AdminSidecar
-from tests.admin.override_rig import OverrideRig, hosts
-from tests.sockets import LONG_S, Upstream, eventually
+from tests.admin.override_rig import OverrideRig, hosts, run
+from tests.sockets import LONG_S, Message, Upstream, answer, eventually
 
 READY, DRAINING, GONE = api.UpstreamState.READY, api.UpstreamState.DRAINING, api.UpstreamState.GONE
 SMALL = 3  # applied in one event
@@ -20,14 +19,6 @@
 TERMINATING = {"health": "terminating"}
 
 
-def run(test: Callable[[], Awaitable[None]]) -> None:
-    async def run_with_timeout() -> None:
-        async with asyncio.timeout(LONG_S):
-            await test()
-
-    uvloop.run(run_with_timeout())
-
-
 def bodies(sidecar: AdminSidecar, count: int = 20) -> set[bytes]:
     return {sidecar.request("GET", "/read/7").body for _ in range(count)}
 
@@ -77,3 +68,51 @@
         assert bodies(sidecar, 40) == {b"two", b"three"}
         sidecar.discovery.send_changes(first_upstream.entry())
         eventually(lambda: b"one" in bodies(sidecar))
+
+
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+# Guards against new requests to a removed upstream: RESTORE undid its removal while a request was in flight.
+def test_an_upstream_that_a_complete_list_removes_stays_removed_after_a_suspension(count: int) -> None:
+    async def test() -> None:
+        rig = OverrideRig()
+        await rig.send_list(hosts(count))
+        rig.upstream("s-1").open_connections += 1  # a request is in flight, so the pool keeps the upstream
+        rig.suspend("s-1")
+        await rig.send_list([host for host in hosts(count) if host["host"] != "s-1"])
+        assert rig.state("s-1") is GONE
+        rig.restore("s-1")
+        assert rig.state("s-1") is GONE
+        rig.suspend("s-1")
+        assert rig.state("s-1") is GONE
+        rig.restore("s-1")
+        assert rig.state("s-1") is GONE
+        rig.close()
+
+    run(test)
+
+
+# Guards against the same failure on sockets: the request in flight is real.
+def test_a_removed_upstream_with_a_request_in_flight_gets_no_requests_after_restore(
+    second_upstream: Upstream, shared_folder: str, release: threading.Event
+) -> None:
+    def withhold(request: Message, client: socket.socket) -> bytes:
+        if request.body == b"hold":
+            release.wait(LONG_S)
+        return answer(b"one")
+
+    with Upstream(script=withhold) as removed, AdminSidecar([removed], shared_folder) as sidecar:
+        client = sidecar.client()
+        client.send("POST", "/pay/7", b"hold", Req_Deadline="15.0")
+        eventually(lambda: removed.requests)
+        sidecar.discovery.hosts = [second_upstream.entry()]
+        sidecar.discovery.watches.clear()
+        sidecar.discovery.close_connections()
+        eventually(lambda: bodies(sidecar, 1) == {b"two"})
+        assert sidecar.call(f"SUSPEND {removed.name}") == "done"
+        assert sidecar.call(f"RESTORE {removed.name}") == "done"
+        assert bodies(sidecar, 40) == {b"two"}
+        release.set()
+        response = client.read()
+        assert response is not None
+        assert response.body == b"one"
+        client.close()
