What another source reports no longer hides a report of the platform's list

What callers saw, with [membership.etcd] on: an upstream that the platform drained (by a list of more than 64 entries, while etcd drained it too) got new requests once etcd had taken its drain back; one that a large list left out stayed in use if the list that had added it still waited behind a large list of etcd.

A large list was compared with the upstreams of the pool, which are the result of the merge, less what waits to be sent, and not what the platform's list has reported.

Change: the listener of a list answers what that list has reported (has_reported, reported_numbers): the engine from the listed entries of the pool, the merge from the records of the platform's list.

--- a/sidecar_proxy/discovery/endpoint_list.py
+++ b/sidecar_proxy/discovery/endpoint_list.py
@@ -17,7 +17,7 @@
 
 from sidecar_proxy.balancer import events as api
 from sidecar_proxy.engine.address import parse_address
-from sidecar_proxy.engine.interfaces import ListedUpstream
+from sidecar_proxy.engine.interfaces import EndpointListListener, ListedUpstream
 
 SLICE_ENTRIES = 64  # entries that are parsed, or passed to the balancer, in one step
 MAX_LIST_ENTRIES = 50_000
@@ -293,34 +293,39 @@
 
 
 def changes(
-    known: dict[int, ListedUpstream], listed: list[ListedUpstream], is_complete: bool
+    listener: EndpointListListener, listed: list[ListedUpstream], is_complete: bool
 ) -> Iterator[list[ListedUpstream]]:
     """Yield in slices what a large list changes.
 
-    It is compared with what discovery reported before, not with what applies: an entry that an override has
-    changed may equal the new one although discovery reports a change. Endpoints that may get no new requests
-    come first (rule 3). An empty slice only ends a step.
+    It is compared with what the list reported before, not with what applies: an entry that an override or
+    another source has changed may equal the new one although the list reports a change. Endpoints that may
+    get no new requests come first (rule 3). An empty slice only ends a step.
     """
     listed_ids = {upstream.entry.id for upstream in listed}
     leaving: list[ListedUpstream] = []
     others: list[ListedUpstream] = []
     for number, upstream in enumerate(listed, 1):
-        old = known.get(upstream.entry.id)
-        if old is None or not old.is_same_listing(upstream):
+        if not listener.has_reported(upstream):
             (others if upstream.entry.state is api.UpstreamState.READY else leaving).append(upstream)
         if number % (8 * SLICE_ENTRIES) == 0:
             yield []
-    for number, (upstream_id, upstream) in enumerate(known.items() if is_complete else (), 1):
-        if upstream_id not in listed_ids and upstream.listed_entry.state is not api.UpstreamState.GONE:
-            leaving.append(
-                ListedUpstream(replace(upstream.listed_entry, state=api.UpstreamState.GONE), ("", 0))
-            )
+    for number, upstream_id in enumerate(listener.reported_numbers() if is_complete else (), 1):
+        if upstream_id not in listed_ids:
+            leaving.append(removal(listener, upstream_id))
         if number % (8 * SLICE_ENTRIES) == 0:
             yield []
     yield from split(leaving)
     yield from split(others)
 
 
+def removal(listener: EndpointListListener, upstream_id: int) -> ListedUpstream:
+    """Return the report that the endpoint list has removed an upstream."""
+    known = listener.listed_upstreams().get(upstream_id)
+    # An upstream that waits to be sent to the balancer is not known there yet.
+    entry = known.listed_entry if known is not None else api.Upstream(upstream_id)
+    return ListedUpstream(replace(entry, state=api.UpstreamState.GONE), ("", 0))
+
+
 def split(upstreams: list[ListedUpstream]) -> Iterable[list[ListedUpstream]]:
     """Split a list into slices of SLICE_ENTRIES."""
     return (upstreams[start : start + SLICE_ENTRIES] for start in range(0, len(upstreams), SLICE_ENTRIES))
--- a/sidecar_proxy/discovery/feed.py
+++ b/sidecar_proxy/discovery/feed.py
@@ -65,6 +65,24 @@
         """Return the upstreams by number."""
         return self.engine.listed_upstreams()
 
+    def has_reported(self, upstream: ListedUpstream) -> bool:
+        """Return whether this was the last report of the platform's list about the upstream."""
+        name = self.directory.names.get(upstream.entry.id, "")
+        record = self.merge.sources["roster"].records.get(name)
+        return (
+            record is not None and record.state is not GONE and record.entry == self.entry_of(name, upstream)
+        )
+
+    def reported_numbers(self) -> list[int]:
+        """Return the numbers of the upstreams that the platform's list has reported and not removed.
+
+        An upstream that waits to be sent to the balancer may have no number yet, and gets one here.
+        """
+        records = self.merge.sources["roster"].records
+        return [
+            self.directory.number_of(name) for name, record in records.items() if record.state is not GONE
+        ]
+
     def entry_of(self, name: str, upstream: ListedUpstream) -> EndpointEntry:
         """Return the platform's entry in the form in which the other sources report theirs."""
         entry = upstream.entry
--- a/sidecar_proxy/discovery/platform_client.py
+++ b/sidecar_proxy/discovery/platform_client.py
@@ -192,7 +192,7 @@
         else:
             # A complete list in one event would block the loop for long; as a series of changes it has the
             # same effect.
-            for part in changes(dict(known) if is_complete else known, upstreams, is_complete):
+            for part in changes(self.listener, upstreams, is_complete):
                 if part:
                     self.listener.list_changed(api.ListKind.DELTA, part, version)
                     self.remove_gone([upstream.entry.id for upstream in part])
--- a/sidecar_proxy/engine/engine.py
+++ b/sidecar_proxy/engine/engine.py
@@ -204,6 +204,19 @@
         """Return the listed upstreams by their numbers."""
         return self.transport.upstreams
 
+    def has_reported(self, upstream: ListedUpstream) -> bool:
+        """Return whether this was the last report of the endpoint list about the upstream."""
+        known = self.transport.upstreams.get(upstream.entry.id)
+        return known is not None and known.is_same_listing(upstream)
+
+    def reported_numbers(self) -> list[int]:
+        """Return the numbers of the upstreams that the endpoint list has reported and not removed."""
+        return [
+            number
+            for number, upstream in self.transport.upstreams.items()
+            if upstream.listed_entry.state is not api.UpstreamState.GONE
+        ]
+
     def member_counts(self) -> tuple[int, int]:
         """Return how many upstreams are listed, and how many of them get few or no requests now."""
         listed = sum(
--- a/sidecar_proxy/engine/interfaces.py
+++ b/sidecar_proxy/engine/interfaces.py
@@ -219,6 +219,15 @@
     def listed_upstreams(self) -> dict[int, ListedUpstream]:
         """Return the listed upstreams by their numbers."""
 
+    def has_reported(self, upstream: ListedUpstream) -> bool:
+        """Return whether this was the last report of the endpoint list about the upstream.
+
+        Overrides and the reports of other sources do not count.
+        """
+
+    def reported_numbers(self) -> list[int]:
+        """Return the numbers of the upstreams that the endpoint list has reported and not removed."""
+
 
 class FleetObserver(Protocol):
     """Counts requests for fleet-wide overload control, and stores each Retry-After sent to a client.
--- a/tests/admin/test_overrides_and_lists.py
+++ b/tests/admin/test_overrides_and_lists.py
@@ -4,14 +4,19 @@
 
 import socket
 import threading
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
 
 import pytest
 
 from sidecar_proxy.balancer import events as api
 from sidecar_proxy.discovery.endpoint_list import SLICE_ENTRIES
+from sidecar_proxy.engine.address import parse_address
 from tests.admin.admin_sidecar import AdminSidecar
 from tests.admin.override_rig import OverrideRig, hosts, run
 from tests.sockets import LONG_S, Message, Upstream, answer, eventually
+from tests.test_listing import entry
 
 READY, DRAINING, GONE = api.UpstreamState.READY, api.UpstreamState.DRAINING, api.UpstreamState.GONE
 SMALL = 3  # applied in one event
@@ -116,3 +121,158 @@
         assert response is not None
         assert response.body == b"one"
         client.close()
+
+
+@dataclass(frozen=True)
+class Report:
+    """What discovery reports of s-1 during a hold, and what applies once the hold ends."""
+
+    fields: dict[str, Any]
+    state: api.UpstreamState
+
+
+REPORTS = {
+    "ready": Report({}, READY),
+    "draining": Report(TERMINATING, DRAINING),
+    "removed": Report({"health": "terminated"}, GONE),
+    "restarted": Report({"born_ms": 7}, READY),
+    "moved": Report({"dial": "127.0.0.1:9"}, READY),
+}
+Delivery = Callable[[OverrideRig, int, dict[str, Any]], Awaitable[None]]
+
+
+def listed(count: int, fields: dict[str, Any]) -> list[dict[str, Any]]:
+    """Return a complete list with these changes of s-1, or without it if it is removed."""
+    return [host for host in hosts(count, s_1=fields) if host["health"] != "terminated"]
+
+
+async def by_change(rig: OverrideRig, _: int, fields: dict[str, Any]) -> None:
+    await rig.send_changes(entry(1, **fields))
+
+
+async def by_list(rig: OverrideRig, count: int, fields: dict[str, Any]) -> None:
+    await rig.send_list(listed(count, fields))
+
+
+async def by_list_of_new_watch(rig: OverrideRig, count: int, fields: dict[str, Any]) -> None:
+    await rig.send_list_of_new_watch(listed(count, fields))
+
+
+async def by_reload(rig: OverrideRig, count: int, fields: dict[str, Any]) -> None:
+    await rig.reload(listed(count, fields))
+
+
+async def by_list_then_change(rig: OverrideRig, count: int, fields: dict[str, Any]) -> None:
+    await rig.send_list(listed(count, TERMINATING))
+    await rig.send_changes(entry(1, **fields))
+
+
+DELIVERIES: list[Delivery] = [by_change, by_list, by_list_of_new_watch, by_reload, by_list_then_change]
+
+
+def each_pair(test: Callable[..., None]) -> Callable[..., None]:
+    """Run a test for each report, way of delivery, length of the list, and with and without a merge."""
+    for mark in (
+        pytest.mark.parametrize("report", REPORTS.values(), ids=REPORTS),
+        pytest.mark.parametrize("deliver", DELIVERIES, ids=lambda delivery: delivery.__name__),
+        pytest.mark.parametrize("count", [SMALL, LARGE]),
+        pytest.mark.parametrize("sources", [None, ("etcd",)], ids=["platform", "merged"]),
+        pytest.mark.parametrize("in_flight", [0, 1]),
+    ):
+        test = mark(test)
+    return test
+
+
+def check_report(rig: OverrideRig, report: Report) -> None:
+    """Check that exactly what discovery has reported applies."""
+    assert rig.state("s-1") is report.state
+    if report.state is not GONE:
+        assert rig.upstream("s-1").entry.started_us == report.fields.get("born_ms", 0) * 1000
+        assert rig.upstream("s-1").address == parse_address(entry(1, **report.fields)["dial"])
+
+
+@each_pair
+# Guards against a hold that hides or changes what discovery reports of the upstream meanwhile.
+def test_after_a_hold_exactly_the_last_report_applies(
+    report: Report, deliver: Delivery, count: int, sources: tuple[str, ...] | None, in_flight: int
+) -> None:
+    async def test() -> None:
+        rig = OverrideRig(sources=sources)
+        await rig.send_cached_list(hosts(count))
+        rig.upstream("s-1").open_connections += in_flight
+        rig.suspend("s-1")
+        assert rig.state("s-1") is DRAINING
+        await deliver(rig, count, report.fields)
+        assert rig.state("s-1") is (GONE if report.state is GONE else DRAINING)
+        rig.restore("s-1")
+        check_report(rig, report)
+        rig.suspend("s-1")
+        assert rig.state("s-1") is not READY
+        rig.restore("s-1")
+        check_report(rig, report)
+        rig.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("report", REPORTS.values(), ids=REPORTS)
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+@pytest.mark.parametrize("sources", [None, ("etcd",)], ids=["platform", "merged"])
+# Guards against a successor that loses a hold, or what the first list says beyond its cached one.
+def test_a_successor_keeps_a_hold_over_its_cached_and_its_first_list(
+    report: Report, count: int, sources: tuple[str, ...] | None
+) -> None:
+    async def test() -> None:
+        rig = OverrideRig(frozenset({"s-1"}), sources)
+        await rig.send_cached_list(hosts(count))
+        assert rig.state("s-1") is DRAINING
+        await rig.send_list_of_new_watch(listed(count, report.fields))
+        assert rig.state("s-1") is (GONE if report.state is GONE else DRAINING)
+        rig.restore("s-1")
+        check_report(rig, report)
+        rig.close()
+
+    run(test)
+
+
+@pytest.mark.parametrize("report", REPORTS.values(), ids=REPORTS)
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+# Guards against a hold that hides the report of one source behind that of the other.
+def test_after_a_hold_the_merge_of_both_sources_applies(report: Report, count: int) -> None:
+    async def test() -> None:
+        rig = OverrideRig(sources=("etcd",))
+        await rig.send_cached_list(hosts(count))
+        await rig.send_changes_of_source("etcd", entry(1, born_ms=0))
+        rig.suspend("s-1")
+        await rig.send_list(listed(count, TERMINATING))
+        await rig.send_changes_of_source("etcd", entry(1, **report.fields))
+        assert rig.state("s-1") is not READY
+        rig.restore("s-1")
+        restarted = report.fields.get("born_ms", 0) > 0
+        assert rig.state("s-1") is (READY if restarted else DRAINING)
+        rig.close()
+
+    run(test)
+
+
+@each_pair
+# Guards against a drain of the fleet that outlives a restart, or ends without one.
+def test_a_drain_of_the_fleet_applies_to_the_start_that_it_names(
+    report: Report, deliver: Delivery, count: int, sources: tuple[str, ...] | None, in_flight: int
+) -> None:
+    async def test() -> None:
+        rig = OverrideRig(sources=sources)
+        await rig.send_cached_list(hosts(count))
+        rig.upstream("s-1").open_connections += in_flight
+        rig.overrides.replace_source("fleet", {"s-1": 999})
+        await deliver(rig, count, report.fields)
+        is_restarted = report.fields.get("born_ms", 0) > 0
+        if not is_restarted:
+            assert rig.state("s-1") is (GONE if report.state is GONE else DRAINING)
+        else:
+            check_report(rig, report)
+        rig.overrides.replace_source("fleet", {})
+        check_report(rig, report)
+        rig.close()
+
+    run(test)
--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -138,6 +138,12 @@
     def listed_upstreams(self) -> dict[int, ListedUpstream]:
         return {}
 
+    def has_reported(self, upstream: ListedUpstream) -> bool:
+        return False
+
+    def reported_numbers(self) -> list[int]:
+        return []
+
 
 @pytest.mark.parametrize("left", ["moved", "asked again", "presumed silent"])
 def test_what_has_come_on_a_watch_is_heeded_though_another_takes_its_place(left: str) -> None:
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -78,6 +78,13 @@
     def listed_upstreams(self) -> dict[int, ListedUpstream]:
         return self.upstreams
 
+    def has_reported(self, upstream: ListedUpstream) -> bool:
+        known = self.upstreams.get(upstream.entry.id)
+        return known is not None and known.is_same_listing(upstream)
+
+    def reported_numbers(self) -> list[int]:
+        return list(self.upstreams)
+
 
 def new_client() -> tuple[PlatformDiscoveryClient, RecordingListener]:
     client, listener = (
@@ -198,7 +205,8 @@
 def test_changes_contain_only_differences_and_leaving_endpoints_first() -> None:
     directory = EndpointDirectory(settings())
     old = parse(list_json([entry(n) for n in range(1000)]), directory).upstreams
-    known = {host.entry.id: host for host in old}
+    known = RecordingListener()
+    known.upstreams = {host.entry.id: host for host in old}
     hosts = [entry(n) for n in range(1, 1200)]
     hosts[499]["health"], hosts[6]["dial"] = "terminating", "127.0.0.1:9"
     new = parse(list_json(hosts), directory)
