A suspension that could not be stored holds until it is ended

What callers saw: with a full $TMPDIR, SUSPEND answered "done, for this process alone", and the upstream got new requests again a tenth of a second later; a RESTORE that could not be stored was undone likewise.

Cause: a process that sees the folder of suspensions change replaces its suspensions by the stored ones, and the failed write itself changes the folder.

Change: SuspensionStore keeps the changes that it could not store, and applies them to what it reads.

Found by walking the pairs of holds and deliveries.

--- a/sidecar_proxy/admin/suspension_store.py
+++ b/sidecar_proxy/admin/suspension_store.py
@@ -24,10 +24,15 @@
 
 
 class SuspensionStore:
-    """The folder of suspensions. Without a folder nothing is stored."""
+    """The folder of suspensions. Without a folder nothing is stored.
+
+    A change that cannot be stored is kept in memory, and applies to what this process reads.
+    """
 
     def __init__(self, folder: Path | None) -> None:
         self.folder = folder
+        # Whether the endpoint is suspended, by the names whose last change could not be stored.
+        self.unstored: dict[str, bool] = {}
         # Modification time in ns and inode of the folder when it was last read.
         self.last_read_version: tuple[int, int] | None = None
 
@@ -38,7 +43,9 @@
         try:
             write_atomically(self._path_of(self.folder, name), name.encode())
         except OSError as error:
+            self.unstored[name] = True
             return self._warn_not_stored(error)
+        self.unstored.pop(name, None)
         return True
 
     def remove(self, name: str) -> bool:
@@ -48,7 +55,9 @@
         try:
             self._path_of(self.folder, name).unlink(missing_ok=True)
         except OSError as error:
+            self.unstored[name] = False
             return self._warn_not_stored(error)
+        self.unstored.pop(name, None)
         return True
 
     def has_changed(self) -> bool:
@@ -62,7 +71,7 @@
         return self.last_read_version != (status.st_mtime_ns, status.st_ino)
 
     def read(self) -> set[str] | None:
-        """Return the names of all suspended endpoints, or None if they cannot be read."""
+        """Return the names of all endpoints that are suspended here, or None if they cannot be read."""
         if self.folder is None:
             return None
         names: set[str] = set()
@@ -80,7 +89,13 @@
             log.warning("cannot read the suspensions: %s", error)
             return None
         self.last_read_version = (status.st_mtime_ns, status.st_ino)
-        return names
+        return self._apply_unstored(names)
+
+    def _apply_unstored(self, stored_names: set[str]) -> set[str]:
+        """Return the stored names with the changes that could not be stored."""
+        suspended = {name for name, is_suspended in self.unstored.items() if is_suspended}
+        restored = self.unstored.keys() - suspended
+        return (stored_names | suspended) - restored
 
     @staticmethod
     def _path_of(folder: Path, name: str) -> Path:
--- a/tests/admin/test_shared_folder.py
+++ b/tests/admin/test_shared_folder.py
@@ -13,7 +13,9 @@
 
 from sidecar_proxy.admin.hot_restart import HotRestart
 from sidecar_proxy.admin.process_locks import ProcessLocks
-from tests.sockets import LONG_S, ROOT
+from sidecar_proxy.admin.shared_folder import FOLDER_NAME
+from tests.admin.admin_sidecar import AdminSidecar
+from tests.sockets import LONG_S, ROOT, Upstream, eventually
 
 
 def test_stored_names_are_those_of_the_earlier_version(tmp_path: Path) -> None:
@@ -112,3 +114,49 @@
         successor.send_signal(signal.SIGKILL)
         successor.wait(LONG_S)
         assert not locks.has_successor()
+
+
+# Guards against new requests to a suspended upstream: a suspension that could not be stored was dropped.
+def test_suspension_that_cannot_be_stored_holds_when_others_change(
+    first_upstream: Upstream, second_upstream: Upstream, shared_folder: str
+) -> None:
+    def bodies() -> set[bytes]:
+        return {sidecar.request("GET", "/read/7").body for _ in range(30)}
+
+    with (
+        Upstream(b"three") as third_upstream,
+        AdminSidecar(
+            [first_upstream, second_upstream, third_upstream],
+            shared_folder,
+            before="ulimit -f 0; ",  # no file may have any content
+        ) as sidecar,
+    ):
+        assert sidecar.call(f"SUSPEND {first_upstream.name}") == "done, for this process alone"
+        other_process = HotRestart(Path(shared_folder) / FOLDER_NAME)
+        assert other_process.suspensions.add(second_upstream.name)
+        eventually(lambda: b"two" not in bodies())  # the sidecar has read the folder
+        assert bodies() == {b"three"}
+        assert other_process.suspensions.remove(second_upstream.name)
+        eventually(lambda: b"two" in bodies())
+        assert b"one" not in bodies()
+        assert sidecar.call(f"RESTORE {first_upstream.name}") == "done"
+        eventually(lambda: b"one" in bodies())
+
+
+# Guards against a restored upstream that stays unused: a suspension that could not be removed came back.
+def test_restore_that_cannot_be_stored_holds_when_others_change(tmp_path: Path) -> None:
+    store = HotRestart(tmp_path / "w").suspensions
+    assert store.add("s-1")
+    file = next((tmp_path / "w" / "suspended").iterdir())
+    content = file.read_bytes()
+    file.unlink()
+    file.mkdir()  # it cannot be unlinked now
+    assert not store.remove("s-1")
+    file.rmdir()
+    file.write_bytes(content)
+    assert store.read() == set()
+    assert HotRestart(tmp_path / "w").suspensions.read() == {"s-1"}
+    assert store.add("s-1")
+    assert store.read() == {"s-1"}
+    assert store.remove("s-1")
+    assert store.read() == set()
