A drain holds over a hot restart, until RESUME at either process

What callers saw: after PAUSE and an upgrade in place GET /ready answered 200 from the new process on, with no RESUME, so the front sent clients to a drained sidecar.

Cause: the drain was a state of the process; the successor shares the listening socket, suspensions and warm-start state only.

Change: PAUSE creates a marker file in $TMPDIR, RESUME removes it (admin/drain_marker.py). Without a writable $TMPDIR both answer "done, for this process alone".

Evidence: the tests of two restarts in a row and of PAUSE and RESUME at either process failed before (200 from the new process) and pass now. The one of a killed process passed before too: it holds the end of a drain.

--- a/sidecar_proxy/admin/commands.py
+++ b/sidecar_proxy/admin/commands.py
@@ -51,8 +51,10 @@
         self.hot_restart = hot_restart
         self.suspensions = Suspensions()
         self.is_serving = False  # whether this process accepts clients
+        self.is_marked_drained = False  # whether the sidecar was marked as drained at the last look
         overrides.name_listeners.append(self.suspensions.add_listed)
         self.set_suspended_names(hot_restart.suspensions.read() or set())
+        self.start_drain_state()
         self.warm_start = WarmStart(engine, directory, hot_restart.warm_start_file)
         self.timer = engine.loop.call_later(POLL_INTERVAL_S, self.poll_other_process)
         self.share_descriptors()
@@ -96,14 +98,18 @@
         return DONE if is_stored else DONE_NOT_STORED
 
     def pause(self, _: str) -> str:
-        """Drain this sidecar."""
+        """Drain this sidecar, and the process that replaces this one."""
+        is_stored = self.hot_restart.drain_marker.create()
+        self.is_marked_drained = self.hot_restart.drain_marker.exists()
         self.server.drain()
-        return DONE
+        return DONE if is_stored else DONE_NOT_STORED
 
     def resume(self, _: str) -> str:
         """End the drain of this sidecar."""
+        is_stored = self.hot_restart.drain_marker.remove()
+        self.is_marked_drained = self.hot_restart.drain_marker.exists()
         self.server.undrain()
-        return DONE
+        return DONE if is_stored else DONE_NOT_STORED
 
     def check_name(self, name: str) -> None:
         """Raise AdminCommandError if no upstream of this name can be suspended or restored."""
@@ -117,13 +123,33 @@
         self.suspensions.replace(names)
         self.overrides.replace_source(OPERATOR_SOURCE, dict.fromkeys(names, ANY_START_US))
 
+    def start_drain_state(self) -> None:
+        """Start drained if the predecessor is; a drain ends with the last process of the sidecar."""
+        if self.engine.settings.is_successor:
+            self.follow_drain_marker()
+        else:
+            self.hot_restart.drain_marker.remove()
+            self.is_marked_drained = self.hot_restart.drain_marker.exists()
+
+    def follow_drain_marker(self) -> None:
+        """Begin or end a drain if an operator has done so at another process of this sidecar."""
+        is_marked = self.hot_restart.drain_marker.exists()
+        if is_marked == self.is_marked_drained:
+            return
+        self.is_marked_drained = is_marked
+        if is_marked:
+            self.server.drain()
+        else:
+            self.server.undrain()
+
     def poll_other_process(self) -> None:
-        """Apply suspensions that another process of this sidecar has stored, and check which one serves."""
+        """Apply what operators have stored at another process of this sidecar, and check which one serves."""
         self.timer = self.engine.loop.call_later(POLL_INTERVAL_S, self.poll_other_process)
         if self.hot_restart.suspensions.has_changed():
             names = self.hot_restart.suspensions.read()
             if names is not None:
                 self.set_suspended_names(names)
+        self.follow_drain_marker()
         self.share_descriptors()
 
     def share_descriptors(self) -> None:
--- a/sidecar_proxy/admin/hot_restart.py
+++ b/sidecar_proxy/admin/hot_restart.py
@@ -1,4 +1,4 @@
-"""The state that two processes of one sidecar share in $TMPDIR: locks, suspensions and warm-start state."""
+"""What two processes of one sidecar share in $TMPDIR: locks, holds of operators and warm-start state."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from sidecar_proxy.admin import suspension_store, warm_start_file
+from sidecar_proxy.admin import drain_marker, suspension_store, warm_start_file
+from sidecar_proxy.admin.drain_marker import DrainMarker
 from sidecar_proxy.admin.process_locks import ProcessLocks
 from sidecar_proxy.admin.shared_folder import FOLDER_NAME
 from sidecar_proxy.admin.suspension_store import SuspensionStore
@@ -27,9 +28,11 @@
         self.locks = ProcessLocks(self.folder)
         if self.folder is None:
             self.suspensions = SuspensionStore(None)
+            self.drain_marker = DrainMarker(None)
             self.warm_start_file = WarmStartFile(None)
         else:
             self.suspensions = SuspensionStore(self.folder / suspension_store.FOLDER_NAME)
+            self.drain_marker = DrainMarker(self.folder / drain_marker.FILE_NAME)
             self.warm_start_file = WarmStartFile(self.folder / warm_start_file.FILE_NAME)
 
     @classmethod
--- a/tests/admin/test_hot_restart.py
+++ b/tests/admin/test_hot_restart.py
@@ -170,6 +170,65 @@
         client.close()
 
 
+class DrainedSidecar(AdminSidecar):
+    """A sidecar process that starts drained."""
+
+    ready_status = 503
+
+
+def readiness(sidecar: AdminSidecar, count: int = 20) -> set[int]:
+    """Return the answers to GET /ready of whichever process accepts each of the connections."""
+    return {sidecar.request("GET", "/ready").status for _ in range(count)}
+
+
+# Guards against clients that are sent to a drained sidecar: its successor reported ready.
+def test_drain_holds_over_a_hot_restart_until_it_is_ended(
+    upstream: Upstream, listener: socket.socket, shared_folder: str
+) -> None:
+    with AdminSidecar([upstream], shared_folder, listener=listener) as first:
+        assert first.call("PAUSE") == "done"
+        with DrainedSidecar([upstream], shared_folder, listener=listener) as second:
+            assert first.stop() == 0
+            assert readiness(second) == {503}
+            with DrainedSidecar([upstream], shared_folder, listener=listener) as third:
+                assert second.stop() == 0
+                assert readiness(third) == {503}
+                assert third.request("GET", "/read/7").status == 200  # a drained sidecar serves who comes
+                assert third.call("RESUME") == "done"
+                assert readiness(third) == {200}
+
+
+def test_drain_and_its_end_reach_both_processes_of_a_hot_restart(
+    upstream: Upstream, listener: socket.socket, shared_folder: str
+) -> None:
+    with (
+        AdminSidecar([upstream], shared_folder, listener=listener) as old,
+        AdminSidecar([upstream], shared_folder, listener=listener) as new,
+    ):
+        assert old.call("PAUSE") == "done"
+        eventually(lambda: readiness(new) == {503})
+        assert new.call("RESUME") == "done"
+        eventually(lambda: readiness(new) == {200})
+        assert new.call("PAUSE") == "done"
+        eventually(lambda: readiness(new) == {503})
+        assert old.stop() == 0
+        assert readiness(new) == {503}
+
+
+def test_drain_ends_with_the_last_process_of_the_sidecar(
+    upstream: Upstream, listener: socket.socket, shared_folder: str
+) -> None:
+    with AdminSidecar([upstream], shared_folder, listener=listener) as old:
+        assert old.call("PAUSE") == "done"
+        old.process.kill()
+        old.process.wait(LONG_S)
+    with AdminSidecar([upstream], shared_folder, listener=listener) as new:
+        assert readiness(new) == {200}
+        with AdminSidecar([upstream], shared_folder, listener=listener) as successor:
+            assert new.stop() == 0
+            assert readiness(successor) == {200}
+
+
 class BlockedDiscovery(Discovery):
     """A discovery server that answers polls only after `released` is set."""
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -250,6 +250,8 @@
 class Sidecar:
     """A sidecar process, started with the deploy file's `run` command and ready."""
 
+    ready_status = 200  # expected answer to GET /ready after the start
+
     def __init__(
         self,
         upstreams: list[Upstream],
@@ -304,7 +306,7 @@
         line = self.startup_lines()[0]
         host, _, port = line.split()[-1].partition(":")
         self.address = (host, int(port))
-        assert self.request("GET", "/ready").status == 200
+        assert self.request("GET", "/ready").status == self.ready_status
         return self
 
     def startup_lines(self) -> list[str]:
