Whatever a complete list of the platform leaves out is gone at once

What callers saw, with [membership] on: upstreams that a complete list of the platform left out went on getting requests if they were over half of ten or more, for as long as no second list came.

Cause: the guard against an emptied or half restored source (MembershipMerge.is_mass_removal) held for the platform's own list too, as that is one source among several. The platform's protocol: "If an upstream is not in a full list, it is gone."

Change: the merge knows the authoritative source; its complete lists need no confirmation. The guard stays for further sources.

No test of the guard changed.

--- a/sidecar_proxy/discovery/feed.py
+++ b/sidecar_proxy/discovery/feed.py
@@ -20,18 +20,20 @@
 
 READY, GONE = api.UpstreamState.READY, api.UpstreamState.GONE
 HEALTH_BY_STATE = {READY: "in_service", api.UpstreamState.DRAINING: "terminating"}
+PLATFORM_SOURCE = "roster"  # shown to operators by `members`
 
 
 class MembershipFeed:
     """Merges the reports of all sources and sends the changes to the balancer.
 
-    The platform's list is the source named "roster".
+    The platform's list is the source PLATFORM_SOURCE.
     """
 
     def __init__(self, engine: Engine, directory: EndpointDirectory, sources: list[str]) -> None:
         self.engine = engine
         self.directory = directory
-        self.merge = MembershipMerge(["roster", *sources])
+        # By the platform's protocol, whatever a complete list of its own leaves out is gone.
+        self.merge = MembershipMerge([PLATFORM_SOURCE, *sources], authoritative=PLATFORM_SOURCE)
         self.roster_revision = 0  # counts the platform's lists, which its client has put in order
         self.pending: dict[str, None] = {}  # names of endpoints that are still to be sent, in order
         self.is_sending = False
@@ -49,13 +51,13 @@
             if (name := self.directory.names.get(upstream.entry.id))
         ]
         if kind is api.ListKind.DELTA:
-            changed = self.merge.apply_changes("roster", "", self.roster_revision, changes)
+            changed = self.merge.apply_changes(PLATFORM_SOURCE, "", self.roster_revision, changes)
         else:
             changed = self.merge.apply_list(
-                "roster", "", self.roster_revision, [entry for _, entry in changes if entry]
+                PLATFORM_SOURCE, "", self.roster_revision, [entry for _, entry in changes if entry]
             )
         is_response = kind in (api.ListKind.FULL, api.ListKind.DELTA)
-        self.update("roster", changed, is_response)
+        self.update(PLATFORM_SOURCE, changed, is_response)
 
     def list_failed(self) -> None:
         """Notify the balancer that a call failed or a watch broke."""
@@ -68,7 +70,7 @@
     def has_reported(self, upstream: ListedUpstream) -> bool:
         """Return whether this was the last report of the platform's list about the upstream."""
         name = self.directory.names.get(upstream.entry.id, "")
-        record = self.merge.sources["roster"].records.get(name)
+        record = self.merge.sources[PLATFORM_SOURCE].records.get(name)
         return (
             record is not None and record.state is not GONE and record.entry == self.entry_of(name, upstream)
         )
@@ -78,7 +80,7 @@
 
         An upstream that waits to be sent to the balancer may have no number yet, and gets one here.
         """
-        records = self.merge.sources["roster"].records
+        records = self.merge.sources[PLATFORM_SOURCE].records
         return [
             self.directory.number_of(name) for name, record in records.items() if record.state is not GONE
         ]
--- a/sidecar_proxy/discovery/merge.py
+++ b/sidecar_proxy/discovery/merge.py
@@ -14,7 +14,7 @@
 
 READY, DRAINING, GONE = UpstreamState.READY, UpstreamState.DRAINING, UpstreamState.GONE
 # Share of a source's endpoints that may be missing from a complete list. If more are missing, a second list
-# has to confirm it.
+# has to confirm it, unless the source is authoritative.
 MAX_MISSING_SHARE = 0.5
 # The list of a source with fewer endpoints is suspect only if all of them are missing.
 MIN_ENDPOINTS_FOR_SHARE = 10
@@ -35,6 +35,7 @@
     """A source and its records."""
 
     name: str
+    is_authoritative: bool = False  # its complete lists need no confirmation
     epoch: str = ""
     revision: int = -1
     records: dict[str, SourceRecord] = field(default_factory=dict)
@@ -55,10 +56,9 @@
     Methods that take reports return the names of the endpoints whose merged state may have changed.
     """
 
-    def __init__(self, sources: Iterable[str]) -> None:
-        self.sources = {
-            name: SourceState(name) for name in sources
-        }  # source states by name, in order of precedence
+    def __init__(self, sources: Iterable[str], authoritative: str = "") -> None:
+        # source states by name, in order of precedence
+        self.sources = {name: SourceState(name, name == authoritative) for name in sources}
         # Latest start of an endpoint (Unix time) among those reported by sources whose record was dropped.
         self.dropped_starts_ms: dict[str, int] = {}
 
@@ -75,7 +75,7 @@
         listed = {entry.name: entry for entry in entries}
         known = {name for name, record in source_state.records.items() if record.state is not GONE}
         missing = frozenset(known - listed.keys())
-        is_mass_removal = self.is_mass_removal(missing, len(known))
+        is_mass_removal = not source_state.is_authoritative and self.is_mass_removal(missing, len(known))
         # The same list received twice at the same revision is no confirmation.
         is_unconfirmed = is_mass_removal and (
             missing != source_state.unconfirmed_missing or revision <= source_state.revision
--- a/tests/discovery/test_feed.py
+++ b/tests/discovery/test_feed.py
@@ -52,3 +52,41 @@
         rig.close()
 
     run(test)
+
+
+LISTED = 15
+REMAINING = 6  # a complete list of a further source with so few of LISTED would need confirmation
+
+
+@pytest.mark.parametrize("sources", [(), ("etcd",)], ids=["alone", "beside etcd"])
+@pytest.mark.parametrize("remaining", [0, REMAINING])
+@pytest.mark.parametrize("way", ["list", "new watch", "reload"])
+# Guards against new requests to removed upstreams: a list that lacked most upstreams was not believed.
+def test_whatever_a_complete_list_of_the_platform_leaves_out_is_gone_at_once(
+    way: str, remaining: int, sources: tuple[str, ...]
+) -> None:
+    async def test() -> None:
+        rig = OverrideRig(sources=sources)
+        await rig.send_cached_list(hosts(LISTED))
+        deliver = {"list": rig.send_list, "new watch": rig.send_list_of_new_watch, "reload": rig.reload}
+        await deliver[way](hosts(remaining))
+        states = [rig.state(f"s-{number}") for number in range(LISTED)]
+        assert states == [READY] * remaining + [GONE] * (LISTED - remaining)
+        rig.close()
+
+    run(test)
+
+
+def test_an_upstream_that_the_platform_leaves_out_and_another_source_lists_drains() -> None:
+    async def test() -> None:
+        rig = OverrideRig(sources=("etcd",))
+        await rig.send_list(hosts(LISTED))
+        await rig.send_changes_of_source("etcd", *hosts(LISTED))
+        await rig.send_list(hosts(REMAINING))
+        assert rig.state("s-0") is READY
+        assert rig.state(f"s-{LISTED - 1}") is DRAINING
+        await rig.send_changes_of_source("etcd", entry(LISTED - 1, health="terminated"))
+        assert rig.state(f"s-{LISTED - 1}") is GONE
+        rig.close()
+
+    run(test)
