An upstream that a large list names again keeps its name, so it can be suspended

What callers saw: SUSPEND answered "done" and had no effect on an upstream that had been removed with a request in flight and was then named again by a list of more than 64 entries.

Cause: names of removed endpoints are tidied after each slice of a large list (PlatformDiscoveryClient.remove_gone). After the first slice, of drains and removals, an upstream of a later slice is not in the pool yet, so its name was dropped, and the upstream came in without one. Overrides are applied by name.

Change: names in a list are kept from the moment at which the list is read (keep_names).

--- a/sidecar_proxy/discovery/platform_client.py
+++ b/sidecar_proxy/discovery/platform_client.py
@@ -184,6 +184,7 @@
         if self.listener is None:
             self.set_version(call, version)
             return
+        self.keep_names(upstreams)
         known = self.listener.listed_upstreams()
         if max(len(upstreams), len(known) if is_complete else 0) <= SLICE_ENTRIES:
             self.listener.list_changed(
@@ -213,6 +214,15 @@
         if call is None or call.address_generation == self.address_generation:
             self.version = version
 
+    def keep_names(self, upstreams: list[ListedUpstream]) -> None:
+        """Keep the names of endpoints that are listed again before their removal from the directory.
+
+        Of a large list they may be applied only after the removal of others.
+        """
+        for upstream in upstreams:
+            if upstream.entry.state is not api.UpstreamState.GONE:
+                self.leaving.pop(upstream.entry.id, None)
+
     def remove_gone(self, numbers: Iterable[int]) -> None:
         """Remove the names of GONE endpoints from the directory, each once it has no attempts in flight."""
         assert self.listener is not None
--- a/tests/admin/test_overrides_and_lists.py
+++ b/tests/admin/test_overrides_and_lists.py
@@ -276,3 +276,24 @@
         rig.close()
 
     run(test)
+
+
+# Guards against a suspension that is not applied: the name of an upstream that was listed again was lost.
+def test_an_upstream_that_is_listed_again_in_a_large_list_can_be_suspended() -> None:
+    async def test() -> None:
+        rig = OverrideRig()
+        await rig.send_list(hosts(LARGE))
+        removed = rig.upstream("s-1")
+        rig.pool.open_connections += 1
+        removed.open_connections += 1
+        await rig.send_changes(entry(1, health="terminated"))
+        rig.pool.connection_closed(removed)  # the pool forgets the upstream; its name is still known
+        await rig.send_list(hosts(LARGE, s_1={"born_ms": 7}, s_2=TERMINATING))  # the drain is applied first
+        assert rig.state("s-1") is READY
+        rig.suspend("s-1")
+        assert rig.state("s-1") is DRAINING
+        rig.restore("s-1")
+        assert rig.state("s-1") is READY
+        rig.close()
+
+    run(test)
