A drain in etcd without the latest start applies to the process that is known

What callers saw, with [membership.etcd] on: an upstream that an operator drained in etcd got new requests, if the entry stated no born_ms or an earlier one than the platform's list; a deleted key had no effect likewise.

Cause: the merge passes over reports of an earlier start, and an entry without a start counted as one of 1970.

Change: a drain or deletion that is reported by a change, or by an entry without a start, is about the start that is known at that moment; the record keeps it (applies_to_ms), so reading the same entry again does not drain a later process. A list that states an earlier start is outdated as before.

--- a/sidecar_proxy/discovery/merge.py
+++ b/sidecar_proxy/discovery/merge.py
@@ -27,8 +27,14 @@
     state: UpstreamState
     entry: EndpointEntry  # the last entry that the source reported
     revision: int
+    # Latest start (Unix time) to which a drain or a deletion applies, whatever start the entry states.
+    applies_to_ms: int = 0
     is_carried_over: bool = False  # a drain of an earlier epoch, which no list of a later epoch ends
 
+    def start_ms(self) -> int:
+        """Return the latest start (Unix time) that the report is about."""
+        return max(self.entry.born_ms, self.applies_to_ms)
+
 
 @dataclass(slots=True)
 class SourceState:
@@ -143,7 +149,8 @@
         if entry is None or entry.state is GONE:
             if old is None:
                 return False
-            record = SourceRecord(GONE, old.entry, revision)
+            applies_to_ms = self.start_meant(name, old, old.entry, GONE, is_list)
+            record = SourceRecord(GONE, old.entry, revision, applies_to_ms)
         else:
             is_carried_over = False
             if is_list and old is not None and old.state is DRAINING:
@@ -151,12 +158,36 @@
                     entry.born_ms > old.entry.born_ms or not (is_new_epoch or old.is_carried_over)
                 )
                 is_carried_over = not ends_drain and (entry.state is READY or old.is_carried_over)
-            record = SourceRecord(
-                DRAINING if is_carried_over else entry.state, entry, revision, is_carried_over
-            )
+            state = DRAINING if is_carried_over else entry.state
+            applies_to_ms = self.start_meant(name, old, entry, state, is_list)
+            record = SourceRecord(state, entry, revision, applies_to_ms, is_carried_over)
         source.records[name] = record
         return old is None or replace(record, revision=old.revision) != old
 
+    def start_meant(
+        self, name: str, old: SourceRecord | None, entry: EndpointEntry, state: UpstreamState, is_list: bool
+    ) -> int:
+        """Return the latest start (Unix time) to which a drain or a deletion applies; 0 if it is neither.
+
+        A change, or an entry without a start, is about the process that is known when it is reported: whoever
+        drains an endpoint by hand need not know its start. An entry that was reported before keeps its
+        meaning, and an earlier start that a list states is about a process that no longer runs.
+        """
+        if state is READY:
+            return 0
+        if is_list and old is not None and old.state is state and old.entry.born_ms == entry.born_ms:
+            return old.applies_to_ms
+        if is_list and entry.born_ms:
+            return entry.born_ms
+        return self.latest_start_ms(name)
+
+    def latest_start_ms(self, name: str) -> int:
+        """Return the latest start (Unix time) of an endpoint that any source has reported; 0 if none has."""
+        reported = (
+            source.records[name].entry.born_ms for source in self.sources.values() if name in source.records
+        )
+        return max(self.dropped_starts_ms.get(name, 0), *reported, 0)
+
     def remove_deleted(self, names: set[str]) -> set[str]:
         """Remove those of these endpoints that every source has deleted; return their names."""
         deleted = set()
@@ -181,16 +212,19 @@
         ]
         if not records:
             return None
-        latest_ms = max(self.dropped_starts_ms.get(name, 0), *(record.entry.born_ms for _, record in records))
+        latest_ms = self.latest_start_ms(name)
         # A record of an earlier start is about a process that no longer runs.
-        current = [(source, record) for source, record in records if record.entry.born_ms == latest_ms]
+        current = [(source, record) for source, record in records if record.start_ms() >= latest_ms]
         if not current:  # the latest start was reported by a source whose record was dropped
             source, record = max(records, key=lambda pair: pair[1].entry.born_ms)
             state = DRAINING if record.state is GONE else READY
             return MergedEndpoint(replace(record.entry, state=state, born_ms=latest_ms), source.name)
         deciding_source, record = next((pair for pair in current if pair[1].state is not READY), current[0])
         state = DRAINING if record.state is not READY else READY
-        return MergedEndpoint(replace(current[0][1].entry, state=state), deciding_source.name)
+        # Addresses and weights are those of the latest start.
+        entries = [record.entry for _, record in current]
+        entry = next((entry for entry in entries if entry.born_ms == latest_ms), entries[0])
+        return MergedEndpoint(replace(entry, state=state, born_ms=latest_ms), deciding_source.name)
 
     def endpoints(self) -> dict[str, MergedEndpoint]:
         """Return the merged state of all endpoints by name."""
--- a/tests/discovery/test_merge.py
+++ b/tests/discovery/test_merge.py
@@ -264,3 +264,53 @@
 
 TestSources = TwoSources.TestCase
 TestSources.settings = hypothesis_settings(max_examples=60, stateful_step_count=30, deadline=None)
+
+
+@pytest.mark.parametrize("stated_ms", [0, 3])
+# Guards against new requests to an upstream that was drained by hand: the start was missing or outdated.
+def test_a_drain_without_the_latest_start_applies_to_the_process_that_is_known(stated_ms: int) -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=5)])
+    merge.apply_list("etcd", "c1", 1, [entry(born_ms=stated_ms)])
+    assert state(merge) is READY
+    merge.apply_changes("etcd", "c1", 2, [("a", entry(state=DRAINING, born_ms=stated_ms))])
+    assert state(merge) is DRAINING
+    merge.apply_list("roster", "", 2, [entry(born_ms=5)])
+    merge.apply_list("etcd", "c1", 3, [entry(state=DRAINING, born_ms=stated_ms)])
+    assert state(merge) is DRAINING
+    merge.apply_list("roster", "", 3, [entry(born_ms=6)])  # a later start ends it
+    assert state(merge) is READY
+    merge.apply_list("etcd", "c1", 4, [entry(state=DRAINING, born_ms=stated_ms)])  # the same report again
+    assert state(merge) is READY
+    merge.apply_changes("etcd", "c1", 5, [("a", entry(state=DRAINING, born_ms=stated_ms))])
+    assert state(merge) is DRAINING
+    merge.apply_changes("etcd", "c1", 6, [("a", entry(born_ms=stated_ms))])
+    assert state(merge) is READY
+
+
+def test_a_drain_without_a_start_in_the_first_list_applies_to_the_process_that_is_known() -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=5, dial="10.0.0.2:2")])
+    merge.apply_list("etcd", "c1", 1, [entry(state=DRAINING, born_ms=0)])
+    merged = merge.endpoint("a")
+    assert merged is not None
+    assert merged.entry.state is DRAINING
+    assert merged.entry.born_ms == 5
+    assert merged.entry.dial == "10.0.0.2:2"  # the address is that of the latest start
+
+
+def test_a_drain_of_an_earlier_start_in_the_first_list_is_outdated() -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=5)])
+    merge.apply_list("etcd", "c1", 1, [entry(state=DRAINING, born_ms=3)])
+    assert state(merge) is READY
+
+
+def test_a_deletion_of_an_entry_without_a_start_drains_what_another_source_lists() -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=5)])
+    merge.apply_list("etcd", "c1", 1, [entry(born_ms=0)])
+    merge.apply_changes("etcd", "c1", 2, [("a", None)])
+    assert state(merge) is DRAINING
+    merge.apply_changes("roster", "", 2, [("a", entry(born_ms=6))])
+    assert state(merge) is READY
--- a/tests/discovery/test_sidecar.py
+++ b/tests/discovery/test_sidecar.py
@@ -96,6 +96,23 @@
             eventually(lambda: b"one" in bodies(sidecar))
 
 
+# Guards against new requests to an upstream that is drained by hand: an entry without a start was outdated.
+def test_a_drain_in_etcd_that_states_no_start_counts_for_the_process_that_is_known() -> None:
+    with Upstream(b"one") as one, Upstream(b"two") as two, Upstream(b"new") as new:
+        etcd = Etcd()
+        etcd.put(one)
+        with running_sidecar([one, two], etcd) as (sidecar, discovery):
+            eventually(lambda: etcd.member.watchers)
+            started_ms = 1_796_126_400_000
+            discovery.send_changes(one.entry(born_ms=started_ms), new.entry())
+            eventually(lambda: b"new" in bodies(sidecar))  # the start is known
+            etcd.put(one, health="terminating")
+            eventually(lambda: b"one" not in bodies(sidecar))
+            assert b"one" not in bodies(sidecar, 40)
+            discovery.send_changes(one.entry(born_ms=started_ms + 1))  # a new process is another one
+            eventually(lambda: b"one" in bodies(sidecar))
+
+
 def test_a_drain_in_the_roster_counts_although_etcd_lists_the_endpoint() -> None:
     with Upstream(b"one") as one, Upstream(b"two") as two:
         etcd = Etcd()
