An attempt with a large body tells its upstream at most what the client has left

What upstreams saw: Req-Deadline of up to 600 s more than the client's with a streamed request body (603.99 where it said 4.000), so they could work for minutes on a request that nobody waited for.

Cause: the deadline of a large body counts from its last byte; until then the engine allows for the longest upload, and the attempt told the whole of it (AttemptInFlight.render).

Change: it tells at most the time that the client waits after its last byte.

Evidence: the streamed case of the new test failed before (603.98674 <= 4.0) and passes now; the buffered one passed before too. 157 tests of bodies, engine, upstreams and server passed.

--- a/sidecar_proxy/engine/engine.py
+++ b/sidecar_proxy/engine/engine.py
@@ -498,6 +498,9 @@
         call, left_us = self.request.call, self.left_us()
         if left_us <= 0:
             return None
+        if call.upload is not None:
+            # Until an upload is complete, what is left includes the time that it may take.
+            left_us = min(left_us, call.time_after_upload_us)
         is_small = len(call.body) <= MAX_BUFFERED_BODY_BYTES
         body = call.body if is_small else b""
         head = b"%sReq-Deadline: %d.%06d\r\n\r\n%s" % (call.head, *divmod(left_us, 1_000_000), body)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -103,6 +103,15 @@
         assert upstream.accepted == 1 and upstream.requests[0].headers["content-length"] == str(size)
 
 
+@pytest.mark.parametrize("size", [200_000, 5 * MB])
+# Guards against upstreams that work for longer than the client waits: a streamed body was given ten minutes.
+def test_the_deadline_of_a_large_body_is_at_most_what_the_client_has_left(size: int) -> None:
+    with BodyUpstream(echo) as upstream, sidecar_with_small_budget(upstream) as sidecar:
+        response = sidecar.request("POST", "/pay/7", random_bytes(size), Req_Deadline="4.000")
+        assert response.status == 200
+        assert 0 < float(upstream.requests[0].headers["req-deadline"]) <= 4.0
+
+
 @pytest.mark.parametrize("size", [10, 200_000, 3 * MB])
 def test_chunked_body_of_unknown_length_is_forwarded(size: int) -> None:
     data = random_bytes(size)
