Discovery's client passes a list on in a function of its own; benchmarks share their entries

Need: PlatformDiscoveryClient.apply parsed, ordered and passed on in 51 lines, with two returns that set the version; two benchmarks wrote the same entries of the endpoint list. Change: apply parses and checks the order, pass_on gives a list to the listener; benchmarks.sidecar.listed. No behaviour changes.

--- a/benchmarks/reuse_delay.py
+++ b/benchmarks/reuse_delay.py
@@ -20,13 +20,12 @@
 
 import uvloop
 
-from benchmarks.sidecar import Process, request
+from benchmarks.sidecar import Process, listed, request
 from sidecar_proxy.testbed.history import Ledger
 from sidecar_proxy.testbed.http1 import ClientPeer
 from sidecar_proxy.testbed.platform_discovery import Roster
 from sidecar_proxy.testbed.process import ROOT
 from sidecar_proxy.testbed.scenario import Plan, settings
-from sidecar_proxy.testbed.upstreams import address_of
 
 MAX_SOCKETS = 4096
 WARM_UP_S = 1.0
@@ -86,20 +85,7 @@
     )
     assert upstreams.stdout is not None
     ports = (await upstreams.stdout.readline()).split()
-    entries = [
-        {
-            "host": f"node-{number}",
-            "dial": f"{address_of(number)}:{int(port)}",
-            "site": "makati",
-            "class": "lab",
-            "block": number // 6,
-            "health": "in_service",
-            "share": 1.0,
-            "born_ms": 0,
-        }
-        for number, port in enumerate(ports)
-    ]
-    return upstreams, entries
+    return upstreams, listed(ports)
 
 
 async def measure(size: int, clients: int, seconds: float) -> dict[str, Result]:
--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -117,6 +117,23 @@
     return sorted(took_ms)
 
 
+def listed(ports: list[bytes]) -> list[dict[str, Any]]:
+    """The entries of the endpoint list for upstreams at these ports."""
+    return [
+        {
+            "host": f"node-{n}",
+            "dial": f"{address_of(n)}:{int(port)}",
+            "site": "makati",
+            "class": "lab",
+            "block": n // 6,
+            "health": "in_service",
+            "share": 1.0,
+            "born_ms": 0,
+        }
+        for n, port in enumerate(ports)
+    ]
+
+
 async def measure(
     size: int,
     requests: int,
@@ -139,19 +156,7 @@
     )
     assert nodes.stdout is not None and nodes.stdin is not None
     ports = (await nodes.stdout.readline()).split()
-    entries = [
-        {
-            "host": f"node-{n}",
-            "dial": f"{address_of(n)}:{int(port)}",
-            "site": "makati",
-            "class": "lab",
-            "block": n // 6,
-            "health": "in_service",
-            "share": 1.0,
-            "born_ms": 0,
-        }
-        for n, port in enumerate(ports)
-    ]
+    entries = listed(ports)
     roster = Roster(Ledger(), entries)
     plan = Plan(instances=3, sites=("makati",))
     with tempfile.TemporaryDirectory() as folder:
--- a/sidecar_proxy/discovery/platform_client.py
+++ b/sidecar_proxy/discovery/platform_client.py
@@ -155,7 +155,7 @@
             self.gc_controller.resume(len(self.listener.listed_upstreams()))
 
     def apply(self, call: DiscoveryCall | None, text: bytes | None) -> Iterator[None]:
-        """Parse one object completely, then pass it to the listener; nothing of an invalid one is passed."""
+        """Parse one object completely, then pass it on; nothing of an invalid one is passed."""
         upstreams: list[ListedUpstream] = []
         version, is_complete = self.version, False
         if text is None:
@@ -181,30 +181,31 @@
                 version, is_complete, upstreams = self.version, False, []
         if call is not None:
             call.is_first_object = False
-        if self.listener is None:
-            self.set_version(call, version)
-            return
+        if self.listener is not None:
+            yield from self.pass_on(self.listener, upstreams, version, is_complete)
+        self.set_version(call, version)
+
+    def pass_on(
+        self, listener: EndpointListListener, upstreams: list[ListedUpstream], version: int, is_complete: bool
+    ) -> Iterator[None]:
+        """Pass a list or changes to the listener, a large list in slices; tidy the directory."""
         self.keep_names(upstreams)
-        known = self.listener.listed_upstreams()
-        if max(len(upstreams), len(known) if is_complete else 0) <= SLICE_ENTRIES:
-            self.listener.list_changed(
-                api.ListKind.FULL if is_complete else api.ListKind.DELTA, upstreams, version
+        listed_count = len(listener.listed_upstreams()) if is_complete else 0
+        if max(len(upstreams), listed_count) <= SLICE_ENTRIES:
+            kind = api.ListKind.FULL if is_complete else api.ListKind.DELTA
+            listener.list_changed(kind, upstreams, version)
+            self.remove_gone(
+                list(self.directory.names) if is_complete else [upstream.entry.id for upstream in upstreams]
             )
-        else:
-            # A complete list in one event would block the loop for long; as a series of changes it has the
-            # same effect.
-            for part in changes(self.listener, upstreams, is_complete):
-                if part:
-                    self.listener.list_changed(api.ListKind.DELTA, part, version)
-                    self.remove_gone([upstream.entry.id for upstream in part])
-                yield
-            self.listener.list_changed(api.ListKind.DELTA, [], version)
-            self.set_version(call, version)
             return
-        self.set_version(call, version)
-        self.remove_gone(
-            list(self.directory.names) if is_complete else [upstream.entry.id for upstream in upstreams]
-        )
+        # A complete list in one event would block the loop for long; as a series of changes it has the same
+        # effect.
+        for part in changes(listener, upstreams, is_complete):
+            if part:
+                listener.list_changed(api.ListKind.DELTA, part, version)
+                self.remove_gone([upstream.entry.id for upstream in part])
+            yield
+        listener.list_changed(api.ListKind.DELTA, [], version)
 
     def set_version(self, call: DiscoveryCall | None, version: int) -> None:
         """Store the version of the list, unless it comes from an address that was replaced meanwhile.
