The end of an etcd key does not drain a later process; a list drains as a change does

What callers would have seen since, with [membership.etcd] on: when the key of an earlier process ended (a lease, a clean-up), the upstream's present process got nothing new. And before it: a drain that a restored cluster had lost ended, if the cluster stated an earlier start; a drain by hand counted on an open watch and not in the list after a break of it.

Cause: a deletion was taken to be about the process that is known, like a drain by hand, though the entry had stated or drained a start; a carried over drain took the start of the entry that replaced it; an earlier start in any list was outdated, not in the first one of an epoch alone.

Change: MembershipMerge.drained_start_ms and deleted_start_ms, one for each question.

--- a/sidecar_proxy/discovery/merge.py
+++ b/sidecar_proxy/discovery/merge.py
@@ -149,8 +149,7 @@
         if entry is None or entry.state is GONE:
             if old is None:
                 return False
-            applies_to_ms = self.start_meant(name, old, old.entry, GONE, is_list)
-            record = SourceRecord(GONE, old.entry, revision, applies_to_ms)
+            record = SourceRecord(GONE, old.entry, revision, self.deleted_start_ms(name, old))
         else:
             is_carried_over = False
             if is_list and old is not None and old.state is DRAINING:
@@ -159,28 +158,38 @@
                 )
                 is_carried_over = not ends_drain and (entry.state is READY or old.is_carried_over)
             state = DRAINING if is_carried_over else entry.state
-            applies_to_ms = self.start_meant(name, old, entry, state, is_list)
+            applies_to_ms = 0
+            if state is DRAINING:
+                applies_to_ms = self.drained_start_ms(name, old, entry, is_list, is_new_epoch)
             record = SourceRecord(state, entry, revision, applies_to_ms, is_carried_over)
         source.records[name] = record
         return old is None or replace(record, revision=old.revision) != old
 
-    def start_meant(
-        self, name: str, old: SourceRecord | None, entry: EndpointEntry, state: UpstreamState, is_list: bool
+    def drained_start_ms(
+        self, name: str, old: SourceRecord | None, entry: EndpointEntry, is_list: bool, is_new_epoch: bool
     ) -> int:
-        """Return the latest start (Unix time) to which a drain or a deletion applies; 0 if it is neither.
+        """Return the latest start (Unix time) to which a reported drain applies.
 
-        A change, or an entry without a start, is about the process that is known when it is reported: whoever
-        drains an endpoint by hand need not know its start. An entry that was reported before keeps its
-        meaning, and an earlier start that a list states is about a process that no longer runs.
+        A drain that was reported before keeps its start. A new one is about the process that is known when it
+        is reported: whoever drains an endpoint by hand need not know its start. The earlier start that the
+        first list of an epoch states is about a process that no longer runs.
         """
-        if state is READY:
-            return 0
-        if is_list and old is not None and old.state is state and old.entry.born_ms == entry.born_ms:
-            return old.applies_to_ms
-        if is_list and entry.born_ms:
+        if is_list and old is not None and old.state is DRAINING:
+            return old.start_ms()
+        is_first_report = old is None or is_new_epoch
+        if is_list and is_first_report and entry.born_ms:
             return entry.born_ms
         return self.latest_start_ms(name)
 
+    def deleted_start_ms(self, name: str, old: SourceRecord) -> int:
+        """Return the latest start (Unix time) to which the deletion of a record applies.
+
+        The end of an entry that stated a start, or drained one, says nothing of later processes.
+        """
+        if old.state is READY and not old.entry.born_ms:
+            return self.latest_start_ms(name)
+        return old.start_ms()
+
     def latest_start_ms(self, name: str) -> int:
         """Return the latest start (Unix time) of an endpoint that any source has reported; 0 if none has."""
         reported = (
--- a/tests/discovery/test_merge.py
+++ b/tests/discovery/test_merge.py
@@ -314,3 +314,61 @@
     assert state(merge) is DRAINING
     merge.apply_changes("roster", "", 2, [("a", entry(born_ms=6))])
     assert state(merge) is READY
+
+
+@pytest.mark.parametrize("stated_ms", [0, 5])
+@pytest.mark.parametrize("way", ["change", "list"])
+# Guards against a healthy upstream that gets no requests: the end of an earlier process's key drained it.
+def test_a_deletion_of_a_drained_entry_does_not_drain_a_later_start(way: str, stated_ms: int) -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=5), entry("b"), entry("c")])
+    merge.apply_list("etcd", "c1", 1, [entry(born_ms=stated_ms), entry("b"), entry("c")])
+    merge.apply_changes("etcd", "c1", 2, [("a", entry(state=DRAINING, born_ms=stated_ms))])
+    merge.apply_changes("roster", "", 2, [("a", entry(born_ms=6))])
+    assert state(merge) is READY
+    if way == "change":
+        merge.apply_changes("etcd", "c1", 3, [("a", None)])
+    else:
+        merge.apply_list("etcd", "c1", 3, [entry("b"), entry("c")])
+    assert state(merge) is READY
+
+
+def test_a_deletion_of_an_entry_that_states_an_earlier_start_does_not_drain_a_later_one() -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("etcd", "c1", 1, [entry(born_ms=5)])
+    merge.apply_list("roster", "", 1, [entry(born_ms=6)])
+    merge.apply_changes("etcd", "c1", 2, [("a", None)])
+    assert state(merge) is READY
+
+
+@pytest.mark.parametrize("restored_ms", [0, 3])
+# Guards against new requests to a drained upstream: a restored cluster stated an earlier start of it.
+def test_a_drain_that_a_restored_cluster_has_lost_keeps_its_start(restored_ms: int) -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=5)])
+    merge.apply_list("etcd", "c1", 1, [entry(state=DRAINING, born_ms=5)])
+    assert state(merge) is DRAINING
+    merge.apply_list("etcd", "c2", 1, [entry(born_ms=restored_ms)])
+    assert state(merge) is DRAINING
+    merge.apply_list("roster", "", 2, [entry(born_ms=6)])
+    assert state(merge) is READY
+
+
+# Guards against a drain by hand that counts on an open watch, and not in the list after a break of it.
+def test_a_drain_by_hand_counts_in_a_list_as_in_a_change() -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=5)])
+    merge.apply_list("etcd", "c1", 1, [entry(born_ms=3)])
+    merge.apply_list("etcd", "c1", 2, [entry(state=DRAINING, born_ms=3)])
+    assert state(merge) is DRAINING
+    merge.apply_list("etcd", "c2", 1, [entry("b")])  # a restored cluster without it
+    merge.apply_list("roster", "", 2, [entry(born_ms=6)])
+    assert state(merge) is READY
+
+
+def test_a_drain_of_an_earlier_start_in_a_restored_cluster_is_outdated() -> None:
+    merge = MembershipMerge(["roster", "etcd"], authoritative="roster")
+    merge.apply_list("roster", "", 1, [entry(born_ms=6)])
+    merge.apply_list("etcd", "c1", 1, [entry(born_ms=6)])
+    merge.apply_list("etcd", "c2", 1, [entry(state=DRAINING, born_ms=3)])
+    assert state(merge) is READY
