A RESTORE that could not be stored hides no later SUSPEND of the other process

What callers would have seen since: with two processes of a sidecar, a RESTORE that one could not store hid a SUSPEND at the other one from it, and the upstream went on getting requests.

Cause: the change that was not stored was kept by name, so it applied to every later file of that name.

Change: it is kept with the version of the file that could not be removed; version_of also serves the two looks at the folder.

Evidence: the new test failed before and passes now. test_restore_that_cannot_be_stored replaced the file by a folder and wrote it again, which is what a new SUSPEND does, so it asserted the fault; it now lets the removal fail, and checks the same answers and besides them that a second suspension is read. Found by reading the change again.

--- a/sidecar_proxy/admin/suspension_store.py
+++ b/sidecar_proxy/admin/suspension_store.py
@@ -31,8 +31,10 @@
 
     def __init__(self, folder: Path | None) -> None:
         self.folder = folder
-        # Whether the endpoint is suspended, by the names whose last change could not be stored.
-        self.unstored: dict[str, bool] = {}
+        self.unstored: set[str] = set()  # names of suspensions that could not be stored
+        # Modification time in ns and inode of each file that could not be removed, by name. A file that was
+        # written since is a new suspension.
+        self.unremoved: dict[str, tuple[int, int] | None] = {}
         # Modification time in ns and inode of the folder when it was last read.
         self.last_read_version: tuple[int, int] | None = None
 
@@ -43,32 +45,31 @@
         try:
             write_atomically(self._path_of(self.folder, name), name.encode())
         except OSError as error:
-            self.unstored[name] = True
+            self.unstored.add(name)
+            self.unremoved.pop(name, None)
             return self._warn_not_stored(error)
-        self.unstored.pop(name, None)
+        self.unstored.discard(name)
+        self.unremoved.pop(name, None)
         return True
 
     def remove(self, name: str) -> bool:
         """Remove a suspension; return False if it may still be stored."""
         if self.folder is None:
             return False
+        path = self._path_of(self.folder, name)
+        self.unstored.discard(name)
         try:
-            self._path_of(self.folder, name).unlink(missing_ok=True)
+            path.unlink(missing_ok=True)
         except OSError as error:
-            self.unstored[name] = False
+            self.unremoved[name] = version_of(path)
             return self._warn_not_stored(error)
-        self.unstored.pop(name, None)
+        self.unremoved.pop(name, None)
         return True
 
     def has_changed(self) -> bool:
         """Return whether the suspensions may have changed since the last read, by one stat of the folder."""
-        if self.folder is None:
-            return False
-        try:
-            status = os.stat(self.folder)
-        except OSError:
-            return False
-        return self.last_read_version != (status.st_mtime_ns, status.st_ino)
+        version = version_of(self.folder) if self.folder is not None else None
+        return version is not None and version != self.last_read_version
 
     def read(self) -> set[str] | None:
         """Return the names of all endpoints that are suspended here, or None if they cannot be read."""
@@ -78,7 +79,7 @@
         try:
             # The version is determined before the files are read, so that a change in between is detected by
             # the next poll.
-            status = os.stat(self.folder)
+            version = version_of(self.folder)
             for file_name in os.listdir(self.folder)[:MAX_SUSPENSIONS]:
                 if file_name.endswith(PARTIAL_SUFFIX):
                     continue
@@ -88,14 +89,13 @@
         except OSError as error:
             log.warning("cannot read the suspensions: %s", error)
             return None
-        self.last_read_version = (status.st_mtime_ns, status.st_ino)
-        return self._apply_unstored(names)
-
-    def _apply_unstored(self, stored_names: set[str]) -> set[str]:
-        """Return the stored names with the changes that could not be stored."""
-        suspended = {name for name, is_suspended in self.unstored.items() if is_suspended}
-        restored = self.unstored.keys() - suspended
-        return (stored_names | suspended) - restored
+        self.last_read_version = version
+        restored = {
+            name
+            for name, unremoved_version in self.unremoved.items()
+            if version_of(self._path_of(self.folder, name)) == unremoved_version
+        }
+        return (names - restored) | self.unstored
 
     @staticmethod
     def _path_of(folder: Path, name: str) -> Path:
@@ -105,3 +105,12 @@
     def _warn_not_stored(error: OSError) -> bool:
         log.warning("cannot store a suspension for the next process: %s", error)
         return False
+
+
+def version_of(path: Path) -> tuple[int, int] | None:
+    """Return the modification time in ns and the inode of a file or folder, or None if it has none."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return None
+    return status.st_mtime_ns, status.st_ino
--- a/tests/admin/test_shared_folder.py
+++ b/tests/admin/test_shared_folder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import signal
 import subprocess
 import sys
@@ -143,20 +144,37 @@
         eventually(lambda: b"one" in bodies())
 
 
+def fail_to_unlink(path: Path, missing_ok: bool = False) -> None:
+    raise OSError(errno.EROFS, "read-only file system")
+
+
 # Guards against a restored upstream that stays unused: a suspension that could not be removed came back.
-def test_restore_that_cannot_be_stored_holds_when_others_change(tmp_path: Path) -> None:
+def test_restore_that_cannot_be_stored_holds_when_others_change(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     store = HotRestart(tmp_path / "w").suspensions
     assert store.add("s-1")
-    file = next((tmp_path / "w" / "suspended").iterdir())
-    content = file.read_bytes()
-    file.unlink()
-    file.mkdir()  # it cannot be unlinked now
-    assert not store.remove("s-1")
-    file.rmdir()
-    file.write_bytes(content)
-    assert store.read() == set()
-    assert HotRestart(tmp_path / "w").suspensions.read() == {"s-1"}
+    with monkeypatch.context() as patched:
+        patched.setattr(Path, "unlink", fail_to_unlink)
+        assert not store.remove("s-1")
+    assert HotRestart(tmp_path / "w").suspensions.add("s-2")
+    assert store.read() == {"s-2"}
+    assert HotRestart(tmp_path / "w").suspensions.read() == {"s-1", "s-2"}
     assert store.add("s-1")
-    assert store.read() == {"s-1"}
+    assert store.read() == {"s-1", "s-2"}
     assert store.remove("s-1")
-    assert store.read() == set()
+    assert store.read() == {"s-2"}
+
+
+# Guards against new requests to a suspended upstream: an earlier RESTORE that was not stored hid it.
+def test_suspension_by_another_process_counts_after_a_restore_that_could_not_be_stored(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    own = HotRestart(tmp_path / "w").suspensions
+    assert own.add("s-1")
+    with monkeypatch.context() as patched:
+        patched.setattr(Path, "unlink", fail_to_unlink)
+        assert not own.remove("s-1")
+    assert own.read() == set()
+    assert HotRestart(tmp_path / "w").suspensions.add("s-1")
+    assert own.read() == {"s-1"}
