Test of gossip reports: wait for the second failure's report, which comes after the first

Cause, in the test: it waited until the upstream was listed, which the report of the first failure does, and then asserted at once that two failures were reported (lines 36 to 38). An instance publishes reports 100 ms apart (MIN_REPORT_INTERVAL_US), so the second one comes later; only the start of a process between the two reads hid that.

Change: the test now forces the order. It fails one request, waits until the first report alone has arrived, in which state the old assertion reads 1, then fails two more and waits for the second. The bound (2), the weight of 0.0 and the text output are asserted as before, and the first report's count of 1 in addition.

--- a/tests/gossip/test_sidecars.py
+++ b/tests/gossip/test_sidecars.py
@@ -23,6 +23,13 @@
     return b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
 
 
+def reported_failures(keys: Keys, name: str, upstream: str, author: str) -> int:
+    """Return the consecutive failures of an upstream that an author has reported to a sidecar, 0 if none."""
+    status = json.loads(members_output(keys, name, "--json"))
+    failures: int = status["nodes"].get(upstream, {"by": {}})["by"].get(author, {"run": 0})["run"]
+    return failures
+
+
 def test_sidecars_join_report_failures_and_reject_a_revoked_peer(tmp_path: Path) -> None:
     keys = Keys(str(tmp_path))
     with (
@@ -31,9 +38,12 @@
         gossiping_sidecar([failing], keys, "two", gossip_addresses(one)) as two,
     ):
         eventually(lambda: "two  alive" in members_output(keys, "one"))
-        for _ in range(3):
+        assert two.request("POST", "/pay/7", b"x").status == 502
+        eventually(lambda: reported_failures(keys, "one", failing.name, "two") == 1)
+        for _ in range(2):
             assert two.request("POST", "/pay/7", b"x").status == 502
-        eventually(lambda: f"node {failing.name}: weight" in members_output(keys, "one"))
+        eventually(lambda: reported_failures(keys, "one", failing.name, "two") >= 2)
+        assert f"node {failing.name}: weight" in members_output(keys, "one")
         status = json.loads(members_output(keys, "one", "--json"))
         assert status["nodes"][failing.name]["by"]["two"]["run"] >= 2
         assert status["nodes"][failing.name]["weight"] == 0.0  # one report alone raises no weight
