A late second response is told by its time and content; quick upstreams get spares

And requests waited up to 5 ms for a connection that rested, whatever the upstream's response time.

Cause: responses are matched to requests by their order, and whatever came 5 ms after a response was taken for the next one. Only bytes with no request outstanding were a sign.

Change: a success that comes sooner than three quarters of the shortest response time known, or that equals the previous one where responses never repeat, ends the connection, marks the upstream and fails the request that waits. A connection rests as long as the time alone can't tell (5 to 10 ms, up to 20 until it is known whether responses repeat). Where the upstream usually responds sooner than the rest is over, a spare connection is opened and the request begins on whichever is ready first.

A long body's test and the test of the delay's clock assert one connection: the first waits out the delay now, as its neighbours do, the second allows no spares. Both assert as much as before.

--- a/sidecar_proxy/engine/interfaces.py
+++ b/sidecar_proxy/engine/interfaces.py
@@ -15,6 +15,7 @@
 from sidecar_proxy.balancer.endpoint import Endpoint
 from sidecar_proxy.engine.address import Address
 from sidecar_proxy.engine.body_buffers import ClientStreamOpener, ResponseSink, ResponseSource, Upload
+from sidecar_proxy.engine.response_floor import ResponseFloor
 
 # Called once with the final response to a request: status, header lines, body.
 Reply = Callable[[int, bytes, bytes], None]
@@ -133,6 +134,8 @@
     listed_entry: api.Upstream = field(init=False)  # entry that discovery has reported last
     last_received_s: float = 0.0  # loop time of the last byte that the upstream sent
     has_violated_protocol: bool = False  # the upstream has sent a response twice, or without a request
+    response_floor: ResponseFloor = field(default_factory=ResponseFloor)  # of the current process
+    spares_allowed_at_s: float = 0.0  # monotonic time from which spare connections may be opened
     generation: int = 0  # number of restarts of the upstream
     open_connections: int = 0  # includes connections that are being established
 
@@ -148,6 +151,14 @@
             other.grpc_address,
         )
 
+    def start_generation(self) -> None:
+        """Begin with the upstream's next process: close the connections to the previous one."""
+        self.generation += 1
+        self.has_violated_protocol = False
+        self.response_floor = ResponseFloor()
+        self.spares_allowed_at_s = 0.0
+        self.close_idle()
+
     def is_ready(self) -> bool:
         """Return whether new requests may be sent to the upstream."""
         return self.entry.state is api.UpstreamState.READY
--- a/sidecar_proxy/http1/upstream.py
+++ b/sidecar_proxy/http1/upstream.py
@@ -24,7 +24,9 @@
     ResponseStreamOpener,
     UpstreamResponse,
 )
+from sidecar_proxy.engine.response_floor import ResponseFloor
 from sidecar_proxy.engine.timers import Timer, TimerQueue
+from sidecar_proxy.http1.repeated_responses import RepeatedResponses
 
 log = logging.getLogger("sidecar_proxy")
 
@@ -35,12 +37,15 @@
 STREAM_AFTER_S = 0.1  # a response of unknown length that is incomplete after this time is streamed
 BODY_STALL_TIMEOUT_S = 10.0  # a body of which no byte is transferred for this long is abandoned
 SWEEP_INTERVAL_S = 0.25  # interval between two checks for connections beyond the idle timeout
-# Minimum time between two requests on a connection, usually and if the upstream has sent bytes that belong to
-# no request. A second response to one request that arrives 1 to 4 ms late would be taken for the response to
-# the next request. The usual delay is waited for, as a new connection takes about as long; instead of the
-# longer one, a new connection is opened.
-REUSE_DELAY_S = 0.005
+# A second response to one request that comes this long after the first is recognized by its time: for a part
+# of it the connection is not used, and in the remaining part the response is sooner than any other can be. A
+# later one is recognized by its content, once it is known that responses do not repeat anyway.
+PROTECTED_S = 0.01
+MAX_REUSE_DELAY_S = 0.02  # minimum time between two requests until that is known
+# The same if the upstream has sent bytes that belong to no request. It is not waited for: a new connection is
+# opened instead. A second response is not expected after this time.
 MISBEHAVED_REUSE_DELAY_S = 0.05
+SPARE_RETRY_S = 1.0  # time without spare connections to an upstream after one could not be opened
 # Errors of this machine, not of the upstream: too many descriptors, no memory, no free port.
 LOCAL_ERRNOS = {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL}
 # Headers that concern a single connection, or that the sidecar sets itself, and that are not forwarded.
@@ -105,6 +110,7 @@
         "timeout_s",
         "timer",
         "connection",
+        "has_begun",
         "is_done",
     )
 
@@ -127,8 +133,14 @@
         self.timeout_s = 0.0  # time-out, counted from when the request was written completely
         self.timer: Timer | None = None
         self.connection: UpstreamConnection | None = None
+        self.has_begun = False  # whether a connection has carried it; it is never begun on a second one
         self.is_done = False
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the exchange still needs a connection."""
+        return not self.has_begun and not self.is_done
+
     def finish(self, outcome: api.Outcome, response: UpstreamResponse | None = None) -> None:
         """End the exchange, unless it has ended: close its connection and report the outcome."""
         if self.is_done:
@@ -179,6 +191,7 @@
             # A machine that has failed leaves its connections open and silent. An unsafe request sent on
             # one of them is lost, while a new connection fails before anything can run.
             upstream.close_idle()
+        connection.reject_unanswered_spare()
         self.finish(api.Outcome.TIMEOUT)
 
 
@@ -209,9 +222,13 @@
     compiled, each attribute would be looked up in a dictionary.
     """
 
-    def __init__(self, pool: ConnectionPool, upstream: ListedUpstream) -> None:
+    def __init__(self, pool: ConnectionPool, upstream: ListedUpstream, is_spare: bool = False) -> None:
         self.pool = pool
         self.upstream = upstream
+        self.is_spare = is_spare  # whether it was opened although another connection would soon be free
+        self.has_responded = False  # whether a response has come on it
+        self.response_digest: int | None = None  # of the previous response; None = not to be compared
+        self.has_own_response = True  # whether the response is certainly the one to the current request
         self.generation = upstream.generation
         self.loop = pool.loop
         self.transport: asyncio.Transport | None = None
@@ -222,7 +239,7 @@
         self.is_paused = False  # whether reading is paused, by backpressure of the sink
         self.began_s = self.last_progress_s = 0.0
         # By the monotonic clock: the loop's clock counts milliseconds and stands still during an iteration.
-        self.idle_since_s = 0.0
+        self.idle_since_s = self.submitted_s = 0.0
         self.is_response_complete = self.keep_alive = self.ends_with_connection = False
         self.is_closed_locally = False
         self.is_lost = False  # whether it is closed and no longer counts against the pool's limit
@@ -240,20 +257,26 @@
         self.transport.set_write_buffer_limits(high=0)
         self.unread_poll = make_input_poll(transport)
 
+    def reuse_delay_s(self) -> float:
+        """Return the minimum time between the previous response and the next request."""
+        if not self.has_responded:
+            return 0.0
+        if self.upstream.has_violated_protocol:
+            return MISBEHAVED_REUSE_DELAY_S
+        protected_s = PROTECTED_S if self.pool.repeated_responses.is_known else MAX_REUSE_DELAY_S
+        return protected_s - self.pool.early_limit_s(self.upstream)
+
     def reuse_delay_left_s(self) -> float:
-        """Return the time until the connection may carry the next request; negative once it may."""
-        return (
-            self.idle_since_s
-            + (MISBEHAVED_REUSE_DELAY_S if self.upstream.has_violated_protocol else REUSE_DELAY_S)
-            - time.monotonic()
-        )
+        """Return the time until the connection may carry the next request; not positive once it may."""
+        return self.idle_since_s + self.reuse_delay_s() - time.monotonic()
 
     def begin_after_reuse_delay(self, exchange: Exchange) -> None:
         """Begin an exchange for which the connection was reserved during its reuse delay."""
+        if not exchange.is_waiting:
+            self.put_back()
+            return
         left_s = self.reuse_delay_left_s()
-        if exchange.is_done:
-            self.return_to_pool()
-        elif left_s > 0.0 and not self.upstream.has_violated_protocol:  # the timer uses a coarser clock
+        if left_s > 0.0 and not self.upstream.has_violated_protocol:  # the timer uses a coarser clock
             self.pool.timers.call_later(left_s, self.begin_after_reuse_delay, exchange)
         elif (
             self.is_usable()
@@ -286,6 +309,8 @@
             return
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
+        exchange.has_begun = True
+        self.submitted_s = time.monotonic()
         self.parser = httptools.HttpResponseParser(self)
         self.has_second_response = self.is_response_complete = self.ends_with_connection = False
         self.headers: list[tuple[bytes, bytes]] = []
@@ -494,6 +519,7 @@
         if self.is_response_complete or 100 <= self.parser.get_status_code() < 200:
             return
         self.is_in_head = False
+        self.check_response_time()
         # The size is checked here too, as the complete response may arrive in one read.
         head_bytes = sum(len(name) + len(value) + 4 for name, value in self.headers)
         is_framed = closes = False
@@ -516,6 +542,25 @@
         if (self.content_length or 0) > MAX_BUFFERED_BODY_BYTES:
             self.open_stream()
 
+    def check_response_time(self) -> None:
+        """Reject a response that is too early to be the one to the current request.
+
+        Only a success is rejected: an upstream that rejects requests or fails is quicker than usual.
+        """
+        now_s = time.monotonic()
+        elapsed_s = now_s - self.submitted_s
+        self.has_own_response = (
+            not self.has_responded or now_s - self.idle_since_s >= MISBEHAVED_REUSE_DELAY_S
+        )
+        if self.has_own_response:
+            self.upstream.response_floor.record(elapsed_s)
+            self.pool.response_floor.record(elapsed_s)
+        elif self.parser.get_status_code() == 200 and elapsed_s < self.pool.early_limit_s(self.upstream):
+            self.upstream.has_violated_protocol = True
+            raise ValueError(
+                f"it came {elapsed_s * 1e3:.1f} ms after the request, sooner than any response before"
+            )
+
     def on_body(self, body: bytes) -> None:
         """Buffer or stream a piece of the body."""
         if self.is_response_complete:
@@ -547,9 +592,11 @@
         """End the exchange with its complete response, and keep the connection if it can be reused."""
         exchange = self.exchange
         assert exchange is not None
+        self.has_responded = True
         self.cancel_body_timer()
         if self.sink is not None:
             sink, self.sink, self.exchange, exchange.connection = self.sink, None, None, None
+            self.response_digest = None
             self.resume()
             (
                 self.return_to_pool()
@@ -565,6 +612,10 @@
             bytes(self.body),
             values.get(b"srv-load", b""),
         )
+        if self.is_copy_of_previous(exchange, response):
+            self.upstream.has_violated_protocol = True
+            self.fail("a second copy of the previous response")
+            return
         if response.status == 200:
             outcome = api.Outcome.OK
         elif response.status in (503, 504) and values.get(b"srv-declined") == b"1":
@@ -579,15 +630,37 @@
             self.return_to_pool()
         exchange.finish(outcome, response)
 
+    def is_copy_of_previous(self, exchange: Exchange, response: UpstreamResponse) -> bool:
+        """Return whether the response is a second copy of the previous one on the connection."""
+        previous = self.response_digest
+        self.response_digest = None
+        # Load reports and failures repeat.
+        if exchange.open_response_stream is not None and response.status == 200:
+            self.response_digest = hash((response.header_lines, response.body))
+        repeated = self.pool.repeated_responses
+        if not self.has_own_response and repeated.is_copy(previous, self.response_digest):
+            return True
+        repeated.record(previous, self.response_digest, self.has_own_response)
+        return False
+
     def return_to_pool(self) -> None:
         """Keep the connection for reuse, unless it is closed or its upstream has restarted or isn't ready."""
+        self.idle_since_s = time.monotonic()
+        self.put_back()
+
+    def put_back(self) -> None:
+        """Do the same for a connection that has carried nothing since it was taken from the pool."""
         upstream = self.upstream
         if self.is_lost or self.generation != upstream.generation or not upstream.is_ready():
             self.close()
             return
-        self.idle_since_s = time.monotonic()
         upstream.idle[self] = self.pool.idle[self] = None
 
+    def reject_unanswered_spare(self) -> None:
+        """Open no more spare connections to an upstream that does not respond on one."""
+        if self.is_spare and not self.has_responded:
+            self.upstream.spares_allowed_at_s = float("inf")
+
     def abort_exchange(self) -> None:
         """Abandon the exchange by closing the connection: it ends before its response is complete."""
         if self.exchange is not None and self.exchange.upload is not None:
@@ -635,6 +708,7 @@
             sink.fail()
         elif exchange is not None and not exchange.is_done:
             exchange.connection = None
+            self.reject_unanswered_spare()
             exchange.finish(api.Outcome.RESET if self.is_request_written else api.Outcome.CONNECT_FAILED)
 
 
@@ -652,6 +726,8 @@
         self.max_connections = self.configured_max_connections = max_connections
         self.open_connections = 0  # number of connections, including those that are being established
         self.upstreams: dict[int, ListedUpstream] = {}
+        self.response_floor = ResponseFloor()  # of all upstreams
+        self.repeated_responses = RepeatedResponses()
         # All idle connections, longest idle first. In a plain dict, finding the first would take linear time.
         self.idle: OrderedDict[UpstreamConnection, None] = OrderedDict()
         self.dial_tasks: set[asyncio.Task[None]] = set()
@@ -680,9 +756,7 @@
                 new.entry.started_us,
             ):
                 # Connections to the upstream's previous process are dead, even if they still look open.
-                old.generation += 1
-                old.has_violated_protocol = False
-                old.close_idle()
+                old.start_generation()
             old.entry, old.address, old.grpc_address, old.listed_entry = (
                 new.entry,
                 new.address,
@@ -735,40 +809,81 @@
         if not upstream.is_ready():
             exchange.finish(api.Outcome.NOT_SENT)
             return
-        reusable: UpstreamConnection | None = None
-        delayed: UpstreamConnection | None = None
-        unusable: list[UpstreamConnection] = []  # closed after the loop, as closing removes them from `idle`
-        for idle in reversed(upstream.idle):
-            connection = cast(UpstreamConnection, idle)
-            if not connection.is_usable():
-                unusable.append(connection)
-            elif connection.reuse_delay_left_s() > 0.0:
-                delayed = connection
-            else:
-                reusable = connection
-                break
-        for connection in unusable:
-            connection.close()
+        reusable, delayed = self.pick_idle(upstream)
         if reusable is not None:
             reusable.remove_from_pool()
             reusable.begin(exchange)
             return
         if delayed is not None and not upstream.has_violated_protocol:
             delayed.remove_from_pool()
-            self.timers.call_later(delayed.reuse_delay_left_s(), delayed.begin_after_reuse_delay, exchange)
+            left_s = delayed.reuse_delay_left_s()
+            self.timers.call_later(left_s, delayed.begin_after_reuse_delay, exchange)
+            if self.may_open_spare(upstream, left_s):
+                self.start_dial(upstream, exchange, is_spare=True)
             return
         if self.open_connections >= self.max_connections and not self.evict():
             exchange.finish(api.Outcome.NOT_SENT)
             return
+        self.start_dial(upstream, exchange, is_spare=False)
+
+    def pick_idle(
+        self, upstream: ListedUpstream
+    ) -> tuple[UpstreamConnection | None, UpstreamConnection | None]:
+        """Return an idle connection that may carry a request, or else the one that may do so first.
+
+        Idle connections that can't be used any more are closed.
+        """
+        reusable: UpstreamConnection | None = None
+        resting: list[UpstreamConnection] = []
+        unusable: list[UpstreamConnection] = []  # closed after the loop, as closing removes them from `idle`
+        for idle in reversed(upstream.idle):
+            connection = cast(UpstreamConnection, idle)
+            if connection.reuse_delay_left_s() > 0.0:
+                resting.append(connection)
+            elif connection.is_usable():
+                reusable = connection
+                break
+            else:
+                unusable.append(connection)
+        delayed: UpstreamConnection | None = None
+        while resting and reusable is None and delayed is None:
+            connection = resting.pop()
+            if connection.is_usable():
+                delayed = connection
+            else:
+                unusable.append(connection)
+        for connection in unusable:
+            connection.close()
+        return reusable, delayed
+
+    def early_limit_s(self, upstream: ListedUpstream) -> float:
+        """Return the response time below which a response of the upstream is too early."""
+        own = upstream.response_floor
+        return own.early_limit_s() if own.is_reliable else self.response_floor.early_limit_s()
+
+    def may_open_spare(self, upstream: ListedUpstream, wait_s: float) -> bool:
+        """Return whether a request opens a connection, although it would get one after this wait.
+
+        It does if the upstream usually responds sooner. Otherwise opening a connection takes about as long
+        as the wait, and each connection costs the upstream work.
+        """
+        return (
+            upstream.response_floor.typical_s < wait_s
+            and self.open_connections < self.max_connections
+            and time.monotonic() >= upstream.spares_allowed_at_s
+        )
+
+    def start_dial(self, upstream: ListedUpstream, exchange: Exchange, is_spare: bool) -> None:
+        """Open a connection for an exchange in a task."""
         self.open_connections += 1
         upstream.open_connections += 1
-        task = self.loop.create_task(self.dial(upstream, exchange))
+        task = self.loop.create_task(self.dial(upstream, exchange, is_spare))
         self.dial_tasks.add(task)
         task.add_done_callback(self.dial_tasks.discard)
 
-    async def dial(self, upstream: ListedUpstream, exchange: Exchange) -> None:
-        """Open a connection and begin the exchange on it."""
-        connection = UpstreamConnection(self, upstream)
+    async def dial(self, upstream: ListedUpstream, exchange: Exchange, is_spare: bool) -> None:
+        """Open a connection and begin the exchange on it, unless another connection carries it by then."""
+        connection = UpstreamConnection(self, upstream, is_spare)
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await self.loop.create_connection(partial(as_protocol, connection), *upstream.address)
@@ -779,18 +894,25 @@
             is_local = isinstance(error, OSError) and error.errno in LOCAL_ERRNOS
             if is_local:
                 self.warn_rate_limited(f"no connection could be opened: {error}")
-            exchange.finish(api.Outcome.NOT_SENT if is_local else api.Outcome.CONNECT_FAILED)
+            self.dial_failed(connection, exchange, is_local)
             return
         if connection.transport is None or connection.transport.is_closing():
-            exchange.finish(api.Outcome.CONNECT_FAILED)
-        elif exchange.is_done:  # ended meanwhile; the connection is kept for the next request
+            self.dial_failed(connection, exchange, is_local=False)
+        elif not exchange.is_waiting:  # the connection is kept for the next request
             connection.return_to_pool()
         elif connection.generation != upstream.generation:
             connection.close()
-            exchange.finish(api.Outcome.CONNECT_FAILED)
+            self.dial_failed(connection, exchange, is_local=False)
         else:
             connection.begin(exchange)
 
+    def dial_failed(self, connection: UpstreamConnection, exchange: Exchange, is_local: bool) -> None:
+        """End the exchange, unless another connection carries it or is reserved for it."""
+        if connection.is_spare:
+            connection.upstream.spares_allowed_at_s = time.monotonic() + SPARE_RETRY_S
+        elif exchange.is_waiting:
+            exchange.finish(api.Outcome.NOT_SENT if is_local else api.Outcome.CONNECT_FAILED)
+
     def evict(self) -> bool:
         """Close the connection that has been idle for longest; return False if none is idle."""
         if not self.idle:
--- a/tests/crossings/test_answers.py
+++ b/tests/crossings/test_answers.py
@@ -13,8 +13,8 @@
 from sidecar_proxy.engine.body_buffers import MAX_BUFFERED_BODY_BYTES
 from sidecar_proxy.engine.interfaces import ListedUpstream, UpstreamResponse
 from sidecar_proxy.http1.upstream import (
+    MAX_REUSE_DELAY_S,
     MISBEHAVED_REUSE_DELAY_S,
-    REUSE_DELAY_S,
     STREAM_AFTER_S,
     ConnectionPool,
     Exchange,
@@ -104,7 +104,7 @@
         assert upstream.accepted == 3
         restarted = ListedUpstream(api.Upstream(1, started_us=9), host.address)
         pool.update([restarted], is_full_list=True)
-        assert not host.has_violated_protocol and REUSE_DELAY_S < MISBEHAVED_REUSE_DELAY_S
+        assert not host.has_violated_protocol and MAX_REUSE_DELAY_S < MISBEHAVED_REUSE_DELAY_S
         pool.close()
 
     with Upstream(script=script) as upstream:
@@ -168,7 +168,7 @@
             await asyncio.sleep(0)
         await sunk[0].ends.wait()
         assert sunk[0].got == b"x" + bytes(2 * MAX_BUFFERED_BODY_BYTES) and not ends
-        connection.idle_since_s -= REUSE_DELAY_S
+        connection.idle_since_s -= MAX_REUSE_DELAY_S
         second = exchange(b"second")
         assert second.connection is connection
         await loop.sock_recv(upstream, 1000)
@@ -193,7 +193,9 @@
 
     async def test(upstream: Upstream) -> None:
         pool = ConnectionPool(connect_timeout_s=LONG_S, idle_timeout_s=5.0, max_connections=8)
-        pool.update([host_of(upstream)], is_full_list=True)
+        host = host_of(upstream)
+        pool.update([host], is_full_list=True)
+        host.spares_allowed_at_s = float("inf")  # so that each request waits for the one connection
         answered, rested = [0.0], []
 
         async def exchange(busy_s: float) -> None:
@@ -215,7 +217,7 @@
         for turn in range(60):
             await exchange(turn % 6 / 1000)
         assert (
-            min(rested[1:]) >= REUSE_DELAY_S - 0.0005 and upstream.accepted == 1
+            min(rested[1:]) >= MAX_REUSE_DELAY_S - 0.0005 and upstream.accepted == 1
         )  # its parking is just before
         pool.close()
 
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -23,6 +23,7 @@
     Upload,
 )
 from sidecar_proxy.http1.response_stream import ResponseStream
+from sidecar_proxy.http1.upstream import MAX_REUSE_DELAY_S
 from tests.sockets import LONG_S, Message, Script, Sidecar, Upstream, answer, eventually
 
 MB = 1024 * 1024
@@ -100,6 +101,7 @@
         for _ in range(2):  # the connections are reused
             response = sidecar.request("POST", "/pay/7", data)
             assert response.status == 200 and response.body == data
+            time.sleep(2 * MAX_REUSE_DELAY_S)  # sooner, a quick upstream gets a spare connection
         assert upstream.accepted == 1 and upstream.requests[0].headers["content-length"] == str(size)
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -15,7 +15,7 @@
 
 from sidecar_proxy.balancer import events as api
 from sidecar_proxy.engine.interfaces import ListedUpstream
-from sidecar_proxy.http1.upstream import REUSE_DELAY_S, ConnectionPool, Exchange
+from sidecar_proxy.http1.upstream import MAX_REUSE_DELAY_S, ConnectionPool, Exchange
 from tests.sockets import LONG_S, Message, Script, Sidecar, Upstream, answer, eventually
 
 
@@ -117,7 +117,7 @@
         while reports:
             for _ in range(4):  # a slot lost by any of them would show
                 assert sidecar.request("POST", "/pay/7", b"x").status == 200
-                time.sleep(2 * REUSE_DELAY_S)
+                time.sleep(2 * MAX_REUSE_DELAY_S)
             reports.pop(0)
         assert upstream.accepted == 1
 
@@ -225,7 +225,7 @@
         for _ in range(5):
             assert client.request("POST", "/pay/7", b"x").status == 200
             # This must not be shorter: the sidecar counts the delay from before the response arrives here.
-            time.sleep(2 * REUSE_DELAY_S)
+            time.sleep(2 * MAX_REUSE_DELAY_S)
         client.close()
         assert upstream.accepted == 1
 
