An end of a pause that is taken off before it is due is added again

What was wrong: an endpoint with a limit below one slot that paused, drained and was ready again within the pause stayed closed until its next update, as did one whose limit rose to a slot and fell again within the pause.

Cause: next_reopen_us takes ends off that do not apply at that time, but update adds an end only if it differs from the one added last (Endpoint.scheduled_reopen_us), which it did not.

Change: an end that is taken off is forgotten, so the next update adds it.

--- a/sidecar_proxy/balancer/endpoint_pool.py
+++ b/sidecar_proxy/balancer/endpoint_pool.py
@@ -231,6 +231,8 @@
                 if limiter.limit < 1.0 and limiter.paused_until_us == until_us:
                     return until_us
             heapq.heappop(self.reopen_times)
+            if endpoint is not None and endpoint.scheduled_reopen_us == until_us:
+                endpoint.scheduled_reopen_us = 0  # it is added again if it is ready within its pause
         return 0
 
     def refresh_order(self, now_us: int) -> None:
--- a/tests/balancer/test_endpoint_pool.py
+++ b/tests/balancer/test_endpoint_pool.py
@@ -308,6 +308,33 @@
         blocks.at(len(listed))
 
 
+# Guards against an endpoint that stays closed after its pause, as nothing opens it.
+def test_endpoint_that_drains_and_is_ready_again_within_its_pause_opens_after_it() -> None:
+    pool = new_pool()
+    endpoint = add_endpoint(pool, 1, random.Random(5))
+    endpoint.limiter.limit, endpoint.limiter.paused_until_us = 0.5, START_US + 1
+    pool.update(endpoint, START_US)
+    ready = endpoint.entry
+    endpoint.entry = Upstream(1, UpstreamState.DRAINING)
+    pool.place(endpoint, START_US)
+    assert pool.next_reopen_us() == 0
+    endpoint.entry = ready
+    pool.place(endpoint, START_US)
+    assert pool.next_reopen_us() == START_US + 1
+    pool.reopen_due(START_US + 1)
+    assert list(pool.warm.iterate_open(1))
+
+
+def test_endpoint_whose_limit_rises_and_falls_within_its_pause_opens_after_it() -> None:
+    pool = new_pool()
+    endpoint = add_endpoint(pool, 1, random.Random(5))
+    endpoint.limiter.paused_until_us = START_US + 1
+    for limit, reopen_us in ((0.5, START_US + 1), (1.0, 0), (0.5, START_US + 1)):
+        endpoint.limiter.limit = limit
+        pool.update(endpoint, START_US)
+        assert pool.next_reopen_us() == reopen_us
+
+
 def test_replaced_endpoints_leave_no_state() -> None:
     pool, rng = new_pool(), random.Random(3)
     for ident in range(1, 2001):
