More request classes than an overload report holds are refused at the start

What was wrong: with overload control on and more than 16 request classes, an arrival of a later class raised an IndexError, and the engine answered it with 502 (found by reading).

Cause: a report holds 16 classes, as it has to fit into the 512 bytes of a gossip broadcast. The controller cut the classes to 16 silently, the balancer looked up the share of any class.

Change: the start refuses the operator file with one line that names both numbers; the controller raises ValueError as well.

Measured: the new tests with 17, 64 and 1,000 classes failed before (the sidecar started) and pass; arrivals of 1 and of 16 classes are counted and get their shares. tests/overload_control: all passed.

--- a/sidecar_proxy/daemon/subsystems.py
+++ b/sidecar_proxy/daemon/subsystems.py
@@ -95,13 +95,22 @@
 
 
 async def start_overload(context: SubsystemContext) -> RunningSubsystem:
-    """Start fleet-wide overload control. Raises OperatorError if gossip is disabled."""
+    """Start fleet-wide overload control.
+
+    Raises OperatorError if gossip is disabled or there are more request classes than a report can hold.
+    """
     from sidecar_proxy.gossip.subsystem import GossipSubsystem
+    from sidecar_proxy.overload_control.messages import MAX_CLASSES
     from sidecar_proxy.overload_control.subsystem import OverloadControlSubsystem
 
     gossip = context.started.get("gossip")
     if not isinstance(gossip, GossipSubsystem):
         raise OperatorError("overload.enabled: needs gossip; gossip.bind names no address")
+    class_count = len(context.engine.settings.classes)
+    if class_count > MAX_CLASSES:
+        raise OperatorError(
+            f"overload.enabled: at most {MAX_CLASSES} request classes, the settings have {class_count}"
+        )
     overload_control = OverloadControlSubsystem(
         context.operator.overload, context.engine, gossip, context.config.seed, context.admin_server
     )
--- a/sidecar_proxy/overload_control/controller.py
+++ b/sidecar_proxy/overload_control/controller.py
@@ -86,13 +86,15 @@
     ) -> None:
         """Creates the controller of the sidecar with number `index` in a fleet of `instances` sidecars.
 
-        `priority_weights` are by request class; classes beyond `MAX_CLASSES` are ignored. `slow_latency_us`
+        `priority_weights` are by request class, for at most `MAX_CLASSES` classes. `slow_latency_us`
         is the response time of a warm upstream that has a queue; 0 if it is not known.
         """
         self.name = name
         self.index = index
         self.instances = max(1, instances)
-        self.priority_weights = tuple(priority_weights[:MAX_CLASSES])
+        if len(priority_weights) > MAX_CLASSES:
+            raise ValueError(f"{len(priority_weights)} request classes, the maximum is {MAX_CLASSES}")
+        self.priority_weights = tuple(priority_weights)
         self.max_retry_after_us = max_retry_after_us
         self.budgets = budgets
         self.rng = rng
--- a/tests/overload_control/conftest.py
+++ b/tests/overload_control/conftest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 import pytest
 
@@ -17,12 +18,18 @@
 def new_controller() -> ControllerFactory:
     """Returns a function that creates a controller; the number in its name seeds its random generator."""
 
-    def make(name: str, index: int, instances: int, slow_latency_us: int = 0) -> OverloadController:
+    def make(
+        name: str,
+        index: int,
+        instances: int,
+        slow_latency_us: int = 0,
+        priority_weights: Sequence[float] = PRIORITY_WEIGHTS,
+    ) -> OverloadController:
         return OverloadController(
             name,
             index,
             instances,
-            PRIORITY_WEIGHTS,
+            priority_weights,
             MAX_RETRY_AFTER_US,
             FleetBudgets(),
             random.Random(int(name[1:])),
--- a/tests/overload_control/test_controller.py
+++ b/tests/overload_control/test_controller.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import pytest
+
 from sidecar_proxy.balancer import events as api
 from sidecar_proxy.overload_control.controller import (
     GENERATION_INTERVAL_US,
+    TICK_INTERVAL_US,
     UPDATE_LIFETIME_US,
     OverloadController,
 )
-from sidecar_proxy.overload_control.messages import TOTAL_PARTS, LeaseGrant, LeaseRequest
+from sidecar_proxy.overload_control.messages import MAX_CLASSES, TOTAL_PARTS, LeaseGrant, LeaseRequest
 from sidecar_proxy.overload_control.outputs import Broadcast, LogMessage, Output, SendMessage
 from tests.overload_control.controllers import (
     STEP_US,
@@ -199,3 +202,21 @@
     assert controller.generation == 0
     controller.tick(GENERATION_INTERVAL_US - 1 + 250_000)
     assert controller.generation == 1
+
+
+@pytest.mark.parametrize("class_count", [1, MAX_CLASSES])
+def test_arrivals_of_all_classes_are_counted_and_the_update_has_their_shares(
+    class_count: int, new_controller: ControllerFactory
+) -> None:
+    controller = new_controller("s0", 0, 1, priority_weights=[1.0] * class_count)
+    for class_index in range(class_count):
+        controller.record_arrival(class_index, 0, False, 0)
+    updates = [
+        output for output in controller.tick(TICK_INTERVAL_US) if isinstance(output, api.OverloadUpdated)
+    ]
+    assert [len(update.admitted_shares) for update in updates] == [class_count]
+
+
+def test_more_classes_than_a_report_holds_are_refused(new_controller: ControllerFactory) -> None:
+    with pytest.raises(ValueError, match="17 request classes, the maximum is 16"):
+        new_controller("s0", 0, 1, priority_weights=[1.0] * (MAX_CLASSES + 1))
--- a/tests/overload_control/test_subsystem.py
+++ b/tests/overload_control/test_subsystem.py
@@ -17,9 +17,9 @@
 
 from sidecar_proxy.gossip.transport import wall_clock_us
 from sidecar_proxy.overload_control import messages
-from sidecar_proxy.overload_control.messages import TOTAL_PARTS, LeaseRequest
+from sidecar_proxy.overload_control.messages import MAX_CLASSES, TOTAL_PARTS, LeaseRequest
 from sidecar_proxy.testbed.fault_schedule import Fault
-from sidecar_proxy.testbed.gossip import Braggart
+from sidecar_proxy.testbed.gossip import Braggart, Keys
 from sidecar_proxy.testbed.scenario import Plan, Scene, settings
 from tests.sockets import LONG_S
 from tests.testbed.playing import RIG, on_rig
@@ -146,12 +146,33 @@
     assert line in refused_start(text, "overload", tmp_path)
 
 
-def refused_start(text: str, table: str, folder: Path) -> str:
-    """Starts a sidecar with an invalid operator file; returns the one line that it writes about the table."""
+# Guards against an IndexError in the balancer, which answered the requests of later classes with 502.
+@pytest.mark.parametrize("class_count", [MAX_CLASSES + 1, 64, 1000])
+def test_more_request_classes_than_a_report_holds_end_the_start_with_one_line(
+    class_count: int, tmp_path: Path
+) -> None:
+    text = Keys(str(tmp_path)).table("s", "s", []) + "\n[overload]\nenabled = true\n"
+    line = f"overload.enabled: at most {MAX_CLASSES} request classes, the settings have {class_count}"
+    assert line in refused_start(text, "overload", tmp_path, settings_with_classes(class_count))
+
+
+def settings_with_classes(count: int) -> dict[str, Any]:
+    """Returns settings whose request classes all equal the first one, but for their names."""
+    changed = settings(Plan(), 0)
+    first = changed["request-classes"][0]
+    changed["request-classes"] = [first | {"name": f"class-{index}"} for index in range(count)]
+    return changed
+
+
+def refused_start(
+    text: str, table: str, folder: Path, platform_settings: dict[str, Any] | None = None
+) -> str:
+    """Starts a sidecar that refuses its operator file; returns the one line that it writes about a table."""
     config = folder / "s.json"
     operator = folder / "s.toml"
     operator.write_text(text)
-    config.write_text(json.dumps({"discovery": "127.0.0.1:9", "seed": "1", "settings": settings(Plan(), 0)}))
+    platform_settings = platform_settings or settings(Plan(), 0)
+    config.write_text(json.dumps({"discovery": "127.0.0.1:9", "seed": "1", "settings": platform_settings}))
     env = {
         **os.environ,
         "PROXY_NAME": "s",
