Testbed: each process reserves its loopback hosts, and no port is given twice

What was seen (once, in tests/consensus/test_fleet.py beside another run): "address already in use" at the start of a sidecar.

Cause: a sidecar that needs its port in advance gets one that is free when it is chosen, not when it is bound, on a host that was one of a hundred by process id (network_links.py), or one of 16,384 (tests/admin). Test runs side by side could have the same host. Two ports of one host could be equal as well.

Change: testbed/loopback.py reserves one of 160 blocks of loopback hosts by a bound socket that lives as long as the process, and remembers the ports it gave. Both users have it; admin_sidecar.py's copy is gone.

--- a/sidecar_proxy/testbed/network_links.py
+++ b/sidecar_proxy/testbed/network_links.py
@@ -6,19 +6,20 @@
 
 import asyncio
 import contextlib
-import os
 import random
-import socket
 from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
+from sidecar_proxy.testbed import loopback
+
 Address = tuple[str, int]
 PIECE = 16 * 1024
 REORDER_S = 0.15  # a packet that is overtaken comes so much later, at most
 AGAIN_S = 0.2  # a lost piece of a stream is sent once more after this
 MOST_WAITING = 256 * 1024  # bytes on a narrow way; what is more is lost, as a router does it
 POLL_S = 0.02
+HOSTS_PER_SUBNET = 250
 
 
 @dataclass(slots=True)
@@ -37,16 +38,13 @@
 
 
 def host_of(kind: int, number: int) -> str:
-    """A loopback address of its own: 0 is where a sidecar really listens, 1 its relay. By process, so that
-    two rigs on one machine are kept apart."""
-    return f"127.{100 + os.getpid() % 100}.{2 * (number // 250) + kind}.{1 + number % 250}"
+    """Return a loopback host of its own: kind 0 is where a sidecar really listens, 1 its relay."""
+    return loopback.own_host(2 * (number // HOSTS_PER_SUBNET) + kind, number % HOSTS_PER_SUBNET)
 
 
 def free_address(number: int) -> Address:
-    """Where a sidecar is to listen. The port is free on that address, which is nobody else's."""
-    host = host_of(0, number)
-    with socket.create_server((host, 0)) as one:
-        return host, int(one.getsockname()[1])
+    """Return an address at which a sidecar is to listen; no other process uses its host."""
+    return loopback.free_address(host_of(0, number))
 
 
 class Links:
--- a/tests/admin/admin_sidecar.py
+++ b/tests/admin/admin_sidecar.py
@@ -2,28 +2,22 @@
 
 from __future__ import annotations
 
-import os
 import socket
 import tempfile
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Any
 
+from sidecar_proxy.testbed import loopback
 from tests.sockets import LONG_S, Discovery, Sidecar, Upstream
 
 Address = tuple[str, int]
+ADMIN_SUBNET = 253
 
 
 def free_address() -> Address:
-    """Return a loopback address with a free port, as the admin address has to name a port.
-
-    The host is different for each process: on 127.0.0.1 another test's socket could take the port before the
-    sidecar listens on it.
-    """
-    process = os.getpid()
-    host = f"127.{64 + (process >> 8) % 64}.{process % 256}.1"
-    with socket.create_server((host, 0)) as server:
-        return host, int(server.getsockname()[1])
+    """Return a loopback address with a free port, as the admin address has to name a port."""
+    return loopback.free_address(loopback.own_host(ADMIN_SUBNET, 0))
 
 
 class AdminSidecar(Sidecar):
