--- a/sidecar_proxy/testbed/loopback.py
+++ b/sidecar_proxy/testbed/loopback.py
@@ -11,8 +11,7 @@
 import os
 import socket
 
-from sidecar_proxy.engine.address import Address
-
+Address = tuple[str, int]
 FIRST_BLOCK = 64  # blocks are 127.64.0.0/16 to 127.223.0.0/16
 BLOCKS = 160
 RESERVATION_HOST = "255.254"  # host of a block that only reserves it
