--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,6 +13,7 @@
 
 import uvloop
 
+from benchmarks.sidecar import entry
 from sidecar_proxy.balancer.settings import parse_settings
 from sidecar_proxy.config.platform_settings import settings_lines
 from sidecar_proxy.discovery.endpoint_list import EndpointDirectory
@@ -63,17 +64,7 @@
                 "seq": seq,
                 "whole": True,
                 "hosts": [
-                    {
-                        "host": f"s-{n}",
-                        "dial": f"{address_of(n % 60_000)}:8000",
-                        "site": "makati",
-                        "class": "lab",
-                        "block": n // 6,
-                        "health": "in_service",
-                        "share": 1.0,
-                        "born_ms": 0,
-                    }
-                    for n in range(first, first + count)
+                    entry(f"s-{n}", n, f"{address_of(n % 60_000)}:8000") for n in range(first, first + count)
                 ],
             }
         ).encode()
--- a/benchmarks/grpc.py
+++ b/benchmarks/grpc.py
@@ -15,6 +15,7 @@
 import tempfile
 from typing import Any
 
+from benchmarks.sidecar import entry
 from sidecar_proxy.balancer import events as api
 from sidecar_proxy.grpc.message import frame_message
 from sidecar_proxy.http2.connection import DataReceived, Event, Limits
@@ -186,19 +187,8 @@
         plain = await loop.create_server(PlainNode, "127.0.0.1", 0)
         node = await loop.create_server(GrpcNode, "127.0.0.1", 0)
         ports.append(str(node.sockets[0].getsockname()[1]))
-        entries.append(
-            {
-                "host": f"node-{number}",
-                "dial": f"127.0.0.1:{plain.sockets[0].getsockname()[1]}",
-                "dial_grpc": f"127.0.0.1:{ports[-1]}",
-                "site": "makati",
-                "class": "lab",
-                "block": number // 6,
-                "health": "in_service",
-                "share": 1.0,
-                "born_ms": 0,
-            }
-        )
+        dial = f"127.0.0.1:{plain.sockets[0].getsockname()[1]}"
+        entries.append(entry(f"node-{number}", number, dial) | {"dial_grpc": f"127.0.0.1:{ports[-1]}"})
     roster = Roster(Ledger(), entries)
     config = {
         "discovery": await roster.serve("s"),
--- a/benchmarks/sidecar.py
+++ b/benchmarks/sidecar.py
@@ -117,21 +117,23 @@
     return sorted(took_ms)
 
 
+def entry(name: str, number: int, dial: str) -> dict[str, Any]:
+    """An entry of the endpoint list for the upstream of this number."""
+    return {
+        "host": name,
+        "dial": dial,
+        "site": "makati",
+        "class": "lab",
+        "block": number // 6,
+        "health": "in_service",
+        "share": 1.0,
+        "born_ms": 0,
+    }
+
+
 def listed(ports: list[bytes]) -> list[dict[str, Any]]:
     """The entries of the endpoint list for upstreams at these ports."""
-    return [
-        {
-            "host": f"node-{n}",
-            "dial": f"{address_of(n)}:{int(port)}",
-            "site": "makati",
-            "class": "lab",
-            "block": n // 6,
-            "health": "in_service",
-            "share": 1.0,
-            "born_ms": 0,
-        }
-        for n, port in enumerate(ports)
-    ]
+    return [entry(f"node-{n}", n, f"{address_of(n)}:{int(port)}") for n, port in enumerate(ports)]
 
 
 async def measure(
--- a/benchmarks/startup.py
+++ b/benchmarks/startup.py
@@ -15,6 +15,7 @@
 
 import uvloop
 
+from benchmarks.sidecar import entry
 from sidecar_proxy.testbed.history import Ledger
 from sidecar_proxy.testbed.platform_discovery import Roster
 from sidecar_proxy.testbed.process import SidecarProcess
@@ -22,19 +23,7 @@
 
 
 async def main(rounds: int) -> None:
-    entries = [
-        {
-            "host": f"node-{n}",
-            "dial": f"127.0.0.1:{n + 1}",
-            "site": "makati",
-            "class": "lab",
-            "block": n // 6,
-            "health": "in_service",
-            "share": 1.0,
-            "born_ms": 0,
-        }
-        for n in range(16)
-    ]
+    entries = [entry(f"node-{n}", n, f"127.0.0.1:{n + 1}") for n in range(16)]
     roster = Roster(Ledger(), entries)
     found: dict[str, list[tuple[float, float, float]]] = {"sources": [], "compiled": []}
     with tempfile.TemporaryDirectory() as folder:
