A shortest response time below 5 ms no longer makes quicker responses suspect

What was seen: python -m benchmarks.grpc ended with a 502 by HTTP/1.1.

Cause: upstreams on loopback that respond under load take over 2 ms for a while, so the shortest time was relied on; quicker responses that followed were taken for second copies.

An upstream that is slow for all of its first responses and quicker later can still be misjudged once.

--- a/sidecar_proxy/engine/response_floor.py
+++ b/sidecar_proxy/engine/response_floor.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 MIN_SAMPLES = 16  # number of response times from which the shortest one is relied on
-MIN_FLOOR_S = 0.002  # shorter response times vary too much with the load of the machine
+MIN_FLOOR_S = 0.005  # shorter response times vary too much with the load of the machine
 FLOOR_SHARE = 0.75  # share of the shortest response time below which a response is too early
 MAX_EARLY_S = 0.005  # a response that takes longer than this is never too early
 TYPICAL_WEIGHT = 1 / 8  # weight of the latest response time in the moving average
