Review: a process replaced while discovery is down forgets the drains that were told

A successor waits 2 s for a list and then serves with the list of its configuration, which may be of the first start. The list that the old process has is not handed over.

--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -166,6 +166,7 @@
         self.hosts = {host["host"]: host for host in hosts}
         self.seq = 1
         self.watches: list[socket.socket] = []
+        self.is_down = False
         self.lock = threading.Lock()
         self.closed = threading.Event()
         super().__init__()
@@ -180,6 +181,9 @@
         with client.makefile("rb") as file:
             while (head := read_head(file)) is not None:
                 data = json.dumps(self.whole()).encode() + b"\n"
+                if self.is_down:
+                    client.sendall(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                    continue
                 if "stream=1" not in head[0]:
                     client.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data))
                     continue
@@ -207,6 +211,21 @@
             except OSError:
                 self.watches.remove(watch)
 
+    def go_down(self) -> None:
+        """Discovery goes down: watches end, and calls end with 503."""
+        with self.lock:
+            self.is_down = True
+            self.record.add(f"discovery of {self.name} goes down")
+            for watch in self.watches:
+                with contextlib.suppress(OSError):
+                    watch.shutdown(socket.SHUT_RDWR)
+            self.watches.clear()
+
+    def come_back(self) -> None:
+        """Discovery answers again."""
+        self.is_down = False
+        self.record.add(f"discovery of {self.name} is back")
+
     def fall_silent(self) -> None:
         """After one more empty line nothing comes on the open watches any more; a new call is answered."""
         with self.lock:
