Signals are handled in all threads, from the first import to the interpreter's end

Callers saw all their connections to a sidecar end with no answer in the moment of SIGTERM.

Cause: signals were blocked in the main thread, and their disposition was the default one. A mask holds for one thread and those that it starts. A thread from before main, such as one of a preloaded library, blocks nothing: it takes the signal, and the process ends.

Now each signal has a handler, which holds for all threads, and is blocked and polled besides, so that a series costs no more than one (SignalInbox). The event loop's wakeup descriptor is off: its reading of a byte for each signal has no end in a series that another thread takes. One poller serves all subsystems.

--- a/sidecar_proxy/daemon/process.py
+++ b/sidecar_proxy/daemon/process.py
@@ -29,6 +29,7 @@
 from sidecar_proxy.engine.engine import Clock, Engine
 from sidecar_proxy.engine.gc_control import GcController
 from sidecar_proxy.engine.memory_budget import DEFAULT_BUDGET_BYTES, MIB, MemoryBudget, resident_bytes
+from sidecar_proxy.engine.signal_inbox import SignalInbox
 from sidecar_proxy.engine.signal_polling import SignalPoller
 from sidecar_proxy.http1.server import Server
 from sidecar_proxy.http1.upstream import ConnectionPool
@@ -40,7 +41,6 @@
 
 PROCESS_MEMORY_MB = 40  # memory of a process without any large body
 MIN_RELOAD_INTERVAL_S = 0.1
-POLLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR2)
 FIRST_LIST_TIMEOUT_S = 2.0  # maximum time that a successor waits for its first endpoint list
 # Standard streams, event loop, listener, discovery, and a reserve for sockets that are being closed.
 RESERVED_FILE_DESCRIPTORS = 48
@@ -51,7 +51,9 @@
     return max(1, (memory_mb - PROCESS_MEMORY_MB) // 4) * MIB
 
 
-async def serve(config: platform_settings.PlatformConfig, operator: Operator | None) -> None:
+async def serve(
+    config: platform_settings.PlatformConfig, operator: Operator | None, signal_inbox: SignalInbox
+) -> None:
     """Serve clients until SIGTERM or SIGINT, then shut down gracefully.
 
     Raises EndpointListError, OperatorError, and OSError if an address can't be listened on.
@@ -91,16 +93,19 @@
     if config.admin_address is not None and admin_commands is not None:
         admin_server = AdminServer(admin_commands.by_name())
         await admin_server.open(config.admin_address)
+    stop_requested = asyncio.Event()
+    signals = SignalPoller(engine.loop, signal_inbox)
+    handle_signals(signals, engine, discovery, stop_requested)
     subsystems: list[RunningSubsystem] = []
     if operator is not None:
         subsystems = await start_enabled(
-            SubsystemContext(config, operator, engine, directory, server, discovery, admin_server, overrides)
+            SubsystemContext(
+                config, operator, engine, directory, server, discovery, signals, admin_server, overrides
+            )
         )
     log.info("runs %s", compiled.state)
     assert discovery.listener is not None
     discovery.listener.list_changed(api.ListKind.CACHED, cached_upstreams, version)
-    stop_requested = asyncio.Event()
-    signals = handle_signals(engine, discovery, stop_requested)
     if admin_commands is not None and settings.is_successor:
         await succeed(engine, admin_commands)
     memory.measure_process(config.memory_mb * MIB, resident_bytes())
@@ -134,17 +139,12 @@
 
 
 def handle_signals(
-    engine: Engine, discovery: PlatformDiscoveryClient, stop_requested: asyncio.Event
-) -> SignalPoller:
+    signals: SignalPoller, engine: Engine, discovery: PlatformDiscoveryClient, stop_requested: asyncio.Event
+) -> None:
     """Have SIGTERM and SIGINT set the event, and SIGHUP reload the configuration."""
-    return SignalPoller(
-        engine.loop,
-        {
-            signal.SIGTERM: stop_requested.set,
-            signal.SIGINT: stop_requested.set,
-            signal.SIGHUP: ReloadRequests(discovery, engine).request,
-        },
-    )
+    signals.handle(signal.SIGTERM, stop_requested.set)
+    signals.handle(signal.SIGINT, stop_requested.set)
+    signals.handle(signal.SIGHUP, ReloadRequests(discovery, engine).request)
 
 
 class ReloadRequests:
@@ -189,13 +189,11 @@
     discovery.set_address(address)
 
 
-def run() -> int:
+def run(signal_inbox: SignalInbox) -> int:
     """Run the sidecar that the environment configures; return the exit status."""
-    # All threads inherit the mask. A signal that comes during the start stays pending until it is polled.
-    signal.pthread_sigmask(signal.SIG_BLOCK, POLLED_SIGNALS)
     configure_logging()
     try:
-        uvloop.run(serve(platform_settings.load(os.environ), operator_file.load(os.environ)))
+        uvloop.run(serve(platform_settings.load(os.environ), operator_file.load(os.environ), signal_inbox))
     except EndpointListError as error:
         print(f"sidecar_proxy: the configuration's known list: {error}", file=sys.stderr)
         return 2
--- a/sidecar_proxy/daemon/subsystems.py
+++ b/sidecar_proxy/daemon/subsystems.py
@@ -16,6 +16,7 @@
 from sidecar_proxy.discovery.endpoint_list import EndpointDirectory
 from sidecar_proxy.discovery.platform_client import PlatformDiscoveryClient
 from sidecar_proxy.engine.engine import Engine
+from sidecar_proxy.engine.signal_polling import SignalPoller
 from sidecar_proxy.http1.listener import Listener
 
 if TYPE_CHECKING:
@@ -34,6 +35,7 @@
     directory: EndpointDirectory
     server: Listener
     discovery: PlatformDiscoveryClient  # the platform's endpoint list; a subsystem may replace its `listener`
+    signals: SignalPoller
     admin_server: AdminServer | None = None
     overrides: EndpointOverrides | None = None  # upstreams that operators have suspended or drained
     started: dict[str, RunningSubsystem] = field(
@@ -63,7 +65,13 @@
     """Start recording the events and actions of the balancer."""
     from sidecar_proxy.recorder.subsystem import Recorder
 
-    return Recorder(context.operator.recorder, context.engine, context.config.name, context.config.seed)
+    return Recorder(
+        context.operator.recorder,
+        context.engine,
+        context.config.name,
+        context.config.seed,
+        context.signals,
+    )
 
 
 async def start_grpc(context: SubsystemContext) -> RunningSubsystem:
--- a/sidecar_proxy/engine/signal_polling.py
+++ b/sidecar_proxy/engine/signal_polling.py
@@ -1,7 +1,7 @@
-"""Signals that are blocked and polled, so that a series of them costs no more than one.
+"""Calls functions on signals, from the event loop.
 
-An event loop's own signal handling reads a byte for each signal. With signals that come without a pause it
-does nothing else, and its memory grows. Blocked signals of one number are merged by the kernel.
+The event loop's own signal handling reads a byte for each signal. With signals that come without a pause it
+does nothing else, and its memory grows.
 """
 
 from __future__ import annotations
@@ -10,23 +10,31 @@
 import signal
 from collections.abc import Callable
 
+from sidecar_proxy.engine.signal_inbox import SignalInbox
+
 POLL_INTERVAL_S = 0.05
 
 
 class SignalPoller:
-    """Calls a function within POLL_INTERVAL_S of a signal. The signals stay blocked when it is closed."""
+    """Calls the function of a signal within POLL_INTERVAL_S. Signals without a function are dropped."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, callbacks: dict[int, Callable[[], None]]) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, inbox: SignalInbox) -> None:
         self.loop = loop
-        self.callbacks = callbacks
-        signal.pthread_sigmask(signal.SIG_BLOCK, callbacks)
+        self.inbox = inbox
+        self.callbacks: dict[int, Callable[[], None]] = {}
+        signal.set_wakeup_fd(-1)  # no byte for each signal
         self.timer = loop.call_soon(self.poll)
 
+    def handle(self, number: signal.Signals, callback: Callable[[], None]) -> None:
+        """Call a function whenever the signal has come."""
+        self.callbacks[number] = callback
+
     def poll(self) -> None:
-        """Take the pending signals, each number once."""
+        """Take the signals that have come, each number once."""
         self.timer = self.loop.call_later(POLL_INTERVAL_S, self.poll)
-        for number, callback in self.callbacks.items():
-            if signal.sigtimedwait({number}, 0) is not None:
+        for number in self.inbox.take():
+            callback = self.callbacks.get(number)
+            if callback is not None:
                 callback()
 
     def close(self) -> None:
--- a/sidecar_proxy/recorder/subsystem.py
+++ b/sidecar_proxy/recorder/subsystem.py
@@ -42,7 +42,9 @@
     It is called for every request, so an exception here stops the recorder and never fails the request.
     """
 
-    def __init__(self, settings: RecorderSettings, engine: Engine, name: str, seed: int) -> None:
+    def __init__(
+        self, settings: RecorderSettings, engine: Engine, name: str, seed: int, signals: SignalPoller
+    ) -> None:
         """Attach the recorder to the engine, and start the spool. Raises OperatorError."""
         self.folder = settings.folder or tempfile.gettempdir()
         if not os.access(self.folder, os.W_OK | os.X_OK):
@@ -56,7 +58,7 @@
         self.next_fault_recording_s = 0.0
         self.tasks: set[asyncio.Task[None]] = set()
         engine.recorder = self
-        self.signals = SignalPoller(engine.loop, {signal.SIGUSR2: partial(self.write_out, "SIGUSR2")})
+        signals.handle(signal.SIGUSR2, partial(self.write_out, "SIGUSR2"))
         self.spool_path = ""  # file that all frames are written to; "" = none
         if settings.spool_s:
             self.run_in_background(self.spool())
@@ -169,4 +171,3 @@
     def close(self) -> None:
         """Detach the recorder from the engine."""
         self.engine.recorder = None
-        self.signals.close()
--- a/tests/process_faults/environment_faults.py
+++ b/tests/process_faults/environment_faults.py
@@ -42,6 +42,8 @@
 
     def variables(self) -> dict[str, str]:
         """Return the environment variables of a process that is started with these faults."""
+        if self == NO_FAULTS:
+            return {}
         variables = {
             "LD_PRELOAD": str(build_library()),
             "FAULT_THREADS": str(self.thread_count),
@@ -55,6 +57,7 @@
         return variables
 
 
+NO_FAULTS = EnvironmentFaults()
 WAITING_THREAD = EnvironmentFaults(thread_count=1)
 # The rules of a bench with a clock of its own: a thread from before main(), calls that it does not have.
 FOREIGN_CLOCK = EnvironmentFaults(
--- a/tests/process_faults/test_signals_in_series.py
+++ b/tests/process_faults/test_signals_in_series.py
@@ -11,9 +11,11 @@
 import pytest
 
 from tests.process_faults.crowd import LimitedSidecar, polite_client
+from tests.process_faults.environment_faults import NO_FAULTS, WAITING_THREAD, EnvironmentFaults
 from tests.sockets import LONG_S, Upstream, eventually
 
 FLOOD_S = 3.0
+THREADS = pytest.mark.parametrize("faults", [NO_FAULTS, WAITING_THREAD], ids=["", "foreign_thread"])
 
 
 @contextlib.contextmanager
@@ -34,26 +36,31 @@
         thread.join(LONG_S)
 
 
-def test_reloads_without_pause_delay_no_client() -> None:
-    with Upstream() as upstream, LimitedSidecar([upstream]) as sidecar:
+@THREADS
+def test_reloads_without_pause_delay_no_client(faults: EnvironmentFaults) -> None:
+    with Upstream() as upstream, LimitedSidecar([upstream], env=faults.variables()) as sidecar:
         with signals_without_pause(sidecar, signal.SIGHUP), polite_client(sidecar) as requests:
             time.sleep(FLOOD_S)
             sidecar.assert_within_limits()
-        print(f"peak {sidecar.peak_kb()} kB, {len(requests)} polite requests")
+        slowest_s = max(request.took_s for request in requests)
+        print(f"peak {sidecar.peak_kb()} kB, {len(requests)} polite requests, the slowest {slowest_s:.3f} s")
         assert all(request.was_answered_in_time() for request in requests), requests
         assert len(requests) >= FLOOD_S / (0.05 + 0.5)
         assert sidecar.stop() == 0
 
 
+@THREADS
 @pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGINT, signal.SIGHUP])
-def test_signals_during_a_planned_stop_do_not_hold_it_up(signal_number: int) -> None:
+def test_signals_during_a_planned_stop_do_not_hold_it_up(
+    signal_number: int, faults: EnvironmentFaults
+) -> None:
     release = threading.Event()
 
     def script(request: object, client: object) -> bytes:
         release.wait(LONG_S)
         return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-    with Upstream(script=script) as upstream, LimitedSidecar([upstream]) as sidecar:
+    with Upstream(script=script) as upstream, LimitedSidecar([upstream], env=faults.variables()) as sidecar:
         client = sidecar.client()
         client.send("POST", "/pay/1", b"x", Req_Deadline="15.0")
         eventually(lambda: upstream.requests)
