The log tells when a planned stop begins and when it is complete

The report could not tell a planned stop that failed from a process that was ended by its signal: neither left a line. A test reads both lines.

--- a/sidecar_proxy/daemon/process.py
+++ b/sidecar_proxy/daemon/process.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 import uvloop
@@ -93,9 +94,9 @@
     if config.admin_address is not None and admin_commands is not None:
         admin_server = AdminServer(admin_commands.by_name())
         await admin_server.open(config.admin_address)
-    stop_requested = asyncio.Event()
+    stop_request = StopRequest(server)
     signals = SignalPoller(engine.loop, signal_inbox)
-    handle_signals(signals, engine, discovery, stop_requested)
+    handle_signals(signals, engine, discovery, stop_request)
     subsystems: list[RunningSubsystem] = []
     if operator is not None:
         subsystems = await start_enabled(
@@ -116,7 +117,7 @@
         admin_commands.is_serving = True
     discovery.gc_controller = GcController()
     log.info("%s listens on %s:%d", config.name, host, port)
-    await stop_requested.wait()
+    await stop_request.received.wait()
     await server.stop()
     discovery.close()
     for closeable in (admin_server, admin_commands):
@@ -138,12 +139,26 @@
     await admin_commands.warm_start.take_over()
 
 
+class StopRequest:
+    """The request for a graceful shutdown, which the first SIGTERM or SIGINT makes."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.received = asyncio.Event()
+
+    def make(self, number: signal.Signals) -> None:
+        """Request the shutdown, and log what the process holds."""
+        if not self.received.is_set():
+            log.info("%s: shutting down; %s", number.name, self.server.describe_load())
+            self.received.set()
+
+
 def handle_signals(
-    signals: SignalPoller, engine: Engine, discovery: PlatformDiscoveryClient, stop_requested: asyncio.Event
+    signals: SignalPoller, engine: Engine, discovery: PlatformDiscoveryClient, stop_request: StopRequest
 ) -> None:
-    """Have SIGTERM and SIGINT set the event, and SIGHUP reload the configuration."""
-    signals.handle(signal.SIGTERM, stop_requested.set)
-    signals.handle(signal.SIGINT, stop_requested.set)
+    """Have SIGTERM and SIGINT request the shutdown, and SIGHUP reload the configuration."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signals.handle(number, partial(stop_request.make, number))
     signals.handle(signal.SIGHUP, ReloadRequests(discovery, engine).request)
 
 
--- a/sidecar_proxy/http1/server.py
+++ b/sidecar_proxy/http1/server.py
@@ -504,3 +504,4 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self.sweep_timer.cancel()
         self.engine.activity.close()
+        log.info("shutdown is complete; %s", self.describe_load())
--- a/tests/process_faults/test_reasons_are_logged.py
+++ b/tests/process_faults/test_reasons_are_logged.py
@@ -28,3 +28,10 @@
 
         eventually(lambda: is_logged("retried (full), the last one id-declined", "connections"))
         eventually(lambda: is_logged("rejected 400 (unknown class)"))
+
+
+def test_log_names_the_begin_and_the_end_of_a_planned_stop() -> None:
+    with Upstream() as upstream, LimitedSidecar([upstream]) as sidecar:
+        assert sidecar.stop() == 0
+        eventually(lambda: [line for line in sidecar.log_lines if "SIGTERM: shutting down; " in line])
+        eventually(lambda: [line for line in sidecar.log_lines if "shutdown is complete; " in line])
