--- a/sidecar_proxy/daemon/__main__.py
+++ b/sidecar_proxy/daemon/__main__.py
@@ -6,6 +6,7 @@
 import sys
 
 from sidecar_proxy.daemon.lean_imports import import_event_loop
+from sidecar_proxy.daemon.standard_streams import open_missing_streams
 from sidecar_proxy.engine.signal_inbox import SignalInbox
 from sidecar_proxy.environment import read_variable
 
@@ -16,6 +17,7 @@
     """Run the sidecar that the environment configures; return the exit status."""
     signals = SignalInbox(HANDLED_SIGNALS)
     signals.open()
+    open_missing_streams()
     try:
         if not read_variable("OPERATOR"):
             import_event_loop()
