The age of input is at most the time since the process saw its socket empty

Callers got 503 for every request where TCP_INFO told an age that the process's own clock does not allow, as one of an hour, or of a clock of another pace: the age was taken from their deadlines as it was told.

Now it is bounded by the process's own clock (engine/input_watch.py): a read that found no more, or the beat before the latest one for a socket or a backlog that the event loop watches; while reading is paused the bound stays where it was. Input of an inherited listening socket has no bound before its backlog was seen empty once.

--- a/sidecar_proxy/http1/client.py
+++ b/sidecar_proxy/http1/client.py
@@ -20,6 +20,7 @@
     Upload,
 )
 from sidecar_proxy.engine.byte_blocks import ByteBlocks
+from sidecar_proxy.engine.input_watch import InputWatch
 from sidecar_proxy.engine.memory_budget import SMALL_READ_BYTES, MemoryAccount
 from sidecar_proxy.http1.header_block import DROPPED_REQUEST_HEADERS, HeaderBlock
 from sidecar_proxy.http1.kernel_buffers import MAX_KERNEL_SEND_BYTES, kernel_input_age_us, kernel_input_bytes
@@ -98,8 +99,12 @@
 
     def input_age_us(self) -> int:
         """Return how long ago the last byte of the request arrived, as far as that is known."""
-        client = self.connection.socket
-        return 0 if client is None else kernel_input_age_us(client)
+        connection = self.connection
+        if connection.socket is None:
+            return 0
+        # The clock of the kernel may have another pace than that of this process.
+        max_age_us = connection.input.heartbeat.read_clock_us() - connection.input_since_us
+        return min(kernel_input_age_us(connection.socket), max_age_us)
 
     def open_stream(
         self, head: bytes, length: int | None, source: ResponseSource, ended: Callable[[bool | None], None]
@@ -150,6 +155,8 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.socket: socket.socket | None = None  # as it was accepted; the transport owns it
+        self.input = InputWatch(server.heartbeat, server.backlog.last_empty_us())
+        self.input_since_us = self.input.empty_us  # what is parsed now has come since
         self.parser = httptools.HttpRequestParser(self)
         self.memory = MemoryAccount(server.memory)
         # queued requests, in the order of their arrival and of the responses
@@ -206,6 +213,7 @@
         """
         self.transport = cast(asyncio.Transport, transport)  # uvloop's has the methods but not the base class
         self.transport.set_write_buffer_limits(high=0)
+        self.input.begin()
         if self.is_discarding:
             self.transport.abort()
 
@@ -238,12 +246,15 @@
         if self.is_discarding:
             self.discard()
             return
+        read_us = self.input.heartbeat.read_clock_us()
         buffer = self.server.memory.read_buffer
         is_buffer_full = buffer.was_filled(size)
         if not is_buffer_full and self.may_upload_be_complete:
             self.upload_caught_up()
         self.data_received(buffer.take(size))
-        if is_buffer_full and not self.is_discarding:
+        if not is_buffer_full:
+            self.input.seen_empty(read_us)
+        elif not self.is_discarding:
             self.schedule_parse()  # there may be more, which the transport would read at once
 
     def data_received(self, data: bytes) -> None:
@@ -257,6 +268,8 @@
         self.server.mark_busy(self)
         if self.unparsed:
             data = self.unparsed[self.unparsed_at :] + data
+        else:
+            self.input_since_us = self.input.last_empty_us()
         self.unparsed, self.unparsed_at = data, 0
         if self.is_parse_scheduled:
             return
@@ -463,11 +476,13 @@
         is_blocked = self.is_reading_blocked()
         if is_blocked and not self.is_paused:
             self.is_paused, self.paused_at_s = True, self.server.loop.time()
+            self.input.end()
             transport.pause_reading()
             if self.streamed_request is not None:
                 self.upload_fell_behind()
         elif not is_blocked and self.is_paused:
             self.is_paused = False
+            self.input.begin()
             self.server.paused_connections.pop(self, None)
             paused_s = self.server.loop.time() - self.paused_at_s
             self.phase_began_s += paused_s
--- a/sidecar_proxy/http1/listener.py
+++ b/sidecar_proxy/http1/listener.py
@@ -9,6 +9,7 @@
 
 from sidecar_proxy.engine.body_buffers import BodyMemoryBudget, ResponseSink, ResponseSource, Upload
 from sidecar_proxy.engine.engine import Engine
+from sidecar_proxy.engine.input_watch import InputWatch, LoopHeartbeat
 from sidecar_proxy.engine.memory_waiters import MemoryWaiters
 from sidecar_proxy.http1.header_block import HeaderBlock
 from sidecar_proxy.http1.request import RequestRejectedError
@@ -157,6 +158,8 @@
         self.memory = engine.memory
         self.memory_waiters = MemoryWaiters(engine.memory, engine.loop)
         self.body_budget = body_budget
+        self.heartbeat = LoopHeartbeat(engine.loop, engine.clock.now_us)
+        self.backlog = InputWatch(self.heartbeat, self.heartbeat.latest_us)  # of the listening socket
         self.discard_memory = memoryview(bytearray(DISCARD_BYTES))  # what is read to it is not used
         self.uploads: dict[UploadingConnection, None] = {}  # connections whose request body is being streamed
         self.paused_connections: dict[PausedConnection, None] = {}  # connections whose reading is paused
--- a/sidecar_proxy/http1/server.py
+++ b/sidecar_proxy/http1/server.py
@@ -36,6 +36,7 @@
 log = logging.getLogger("sidecar_proxy")
 
 ACCEPT_BACKLOG = 512
+NEVER_US = 0
 SWEEP_INTERVAL_S = 0.2  # interval between two checks of the time limits of connections
 # Readiness is polled ten times a second, and new connections are sent for 0.2 s after a negative answer.
 DRAIN_NOTICE_S = 0.4
@@ -102,13 +103,16 @@
         Raises OSError.
         """
         self.is_socket_inherited = inherited is not None
+        now_us = self.engine.clock.now_us()
         if inherited is not None:
             self.listening_socket = socket.socket(fileno=inherited)
+            self.backlog.seen_empty(NEVER_US)  # clients may have waited before this process began
         else:
             family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
             self.listening_socket = socket.create_server(
                 (address[0].strip("[]"), address[1]), family=family, backlog=ACCEPT_BACKLOG
             )
+            self.backlog.seen_empty(now_us)
         self.listening_socket.setblocking(False)
         self.resume_accepting()
         bound: Address = self.listening_socket.getsockname()[:2]
@@ -248,12 +252,14 @@
         """Accept new connections again."""
         if self.listening_socket is not None and not self.is_accepting:
             self.is_accepting = True
+            self.backlog.begin()
             self.loop.add_reader(self.listening_socket.fileno(), self.accept)
 
     def pause_accepting(self) -> None:
         """Leave new connections in the backlog."""
         if self.listening_socket is not None and self.is_accepting:
             self.is_accepting = False
+            self.backlog.end()
             self.loop.remove_reader(self.listening_socket.fileno())
 
     def pause_accepting_briefly(self) -> None:
@@ -284,9 +290,13 @@
             if is_full and evictable is None:
                 self.pause_accepting_briefly()  # ends early when a connection becomes idle or is closed
                 return
+            now_us = self.engine.clock.now_us()
             try:
                 client, _ = self.listening_socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            except BlockingIOError:
+                self.backlog.seen_empty(now_us)
+                return
+            except (InterruptedError, ConnectionAbortedError):
                 return
             except OSError as error:
                 self.warn_rate_limited(f"accept: {error}")
@@ -503,5 +513,6 @@
         ):
             await asyncio.sleep(POLL_INTERVAL_S)
         self.sweep_timer.cancel()
+        self.heartbeat.close()
         self.engine.activity.close()
         log.info("shutdown is complete; %s", self.describe_load())
