A client whose unread output can't be measured is not one that has stopped reading

With TIOCOUTQ refused, a client that read its long answer slowly, or rested for 12 s, had it cut after 10 s: the unknown size stood for one that had not changed. The same unknown stood for 0 unread bytes of an upload.

Now an unknown size is told apart (UnreadOutput): what the transport still holds is compared instead, for 60 s, as the kernel takes more only in large pieces, and such a client is not evicted for a new one. An upload whose unread bytes are unknown may be complete, as one without a length.

--- a/sidecar_proxy/http1/client.py
+++ b/sidecar_proxy/http1/client.py
@@ -23,7 +23,12 @@
 from sidecar_proxy.engine.input_watch import InputWatch
 from sidecar_proxy.engine.memory_budget import SMALL_READ_BYTES, MemoryAccount
 from sidecar_proxy.http1.header_block import DROPPED_REQUEST_HEADERS, HeaderBlock
-from sidecar_proxy.http1.kernel_buffers import MAX_KERNEL_SEND_BYTES, kernel_input_age_us, kernel_input_bytes
+from sidecar_proxy.http1.kernel_buffers import (
+    MAX_KERNEL_SEND_BYTES,
+    UNKNOWN,
+    kernel_input_age_us,
+    kernel_input_bytes,
+)
 from sidecar_proxy.http1.listener import Listener
 from sidecar_proxy.http1.request import MAX_UPLOAD_DURATION_US, RequestRejectedError
 from sidecar_proxy.http1.response_stream import QueuedRequest, ResponseStream
@@ -726,9 +731,10 @@
         request, transport = self.streamed_request, self.transport
         if request is None or transport is None or self.may_upload_be_complete:
             return
-        if self.content_length is not None:
-            unread_bytes = kernel_input_bytes(transport) + MAX_KERNEL_SEND_BYTES
-            if self.content_length - self.body_bytes > unread_bytes:
+        unread_bytes = kernel_input_bytes(transport)
+        if self.content_length is not None and unread_bytes != UNKNOWN:
+            missing_bytes = self.content_length - self.body_bytes
+            if missing_bytes > unread_bytes + MAX_KERNEL_SEND_BYTES:
                 return
         self.may_upload_be_complete = True
         self.server.engine.upload_complete(request.request_number)
--- a/sidecar_proxy/http1/kernel_buffers.py
+++ b/sidecar_proxy/http1/kernel_buffers.py
@@ -7,8 +7,13 @@
 import socket
 import sys
 import termios
+from dataclasses import dataclass
 
 UNKNOWN = -1
+MIN_READ_BYTES = 2048  # less is what the kernels exchange although the client does not read
+READ_STALL_TIMEOUT_S = 10.0  # a client that reads nothing of its responses for this long is disconnected
+# The same where the kernel does not tell how much is unread. Its buffers take more only in large pieces.
+UNMEASURED_STALL_TIMEOUT_S = 60.0
 # Place of tcpi_last_data_recv, in milliseconds, in Linux's struct tcp_info
 LAST_DATA_RECEIVED_OFFSET = 52
 TCP_INFO_BYTES = LAST_DATA_RECEIVED_OFFSET + 4
@@ -42,13 +47,40 @@
 
 
 def kernel_output_bytes(transport: asyncio.BaseTransport | None) -> int:
-    """Return how many bytes were written that the peer has not acknowledged."""
+    """Return how many bytes were written that the peer has not acknowledged, or UNKNOWN."""
     return query(transport, termios.TIOCOUTQ)
 
 
+@dataclass(frozen=True, slots=True)
+class UnreadOutput:
+    """How much a client has not read of its responses: in the kernel or, if unknown, in the transport."""
+
+    size: int
+    is_measured: bool
+
+    @property
+    def stall_timeout_s(self) -> float:
+        """How long it may stay the same before the client counts as one that has stopped reading."""
+        return READ_STALL_TIMEOUT_S if self.is_measured else UNMEASURED_STALL_TIMEOUT_S
+
+    def has_changed(self, earlier: UnreadOutput) -> bool:
+        """Return whether the client has read since an earlier measurement."""
+        if self.is_measured != earlier.is_measured:
+            return True
+        return abs(self.size - earlier.size) >= (MIN_READ_BYTES if self.is_measured else 1)
+
+
+def measure_unread_output(transport: asyncio.Transport | None) -> UnreadOutput:
+    """Return how much output of a transport its peer has not read."""
+    kernel_bytes = kernel_output_bytes(transport)
+    if kernel_bytes != UNKNOWN or transport is None:
+        return UnreadOutput(kernel_bytes, True)
+    return UnreadOutput(transport.get_write_buffer_size(), False)
+
+
 def kernel_input_bytes(transport: asyncio.BaseTransport | None) -> int:
-    """Return how many bytes were received that are not read yet; 0 if that is unknown."""
-    return max(0, query(transport, termios.FIONREAD))
+    """Return how many bytes were received that are not read yet, or UNKNOWN."""
+    return query(transport, termios.FIONREAD)
 
 
 def kernel_input_age_us(connection: socket.socket) -> int:
--- a/sidecar_proxy/http1/listener.py
+++ b/sidecar_proxy/http1/listener.py
@@ -12,6 +12,7 @@
 from sidecar_proxy.engine.input_watch import InputWatch, LoopHeartbeat
 from sidecar_proxy.engine.memory_waiters import MemoryWaiters
 from sidecar_proxy.http1.header_block import HeaderBlock
+from sidecar_proxy.http1.kernel_buffers import UnreadOutput
 from sidecar_proxy.http1.request import RequestRejectedError
 
 DISCARD_BYTES = 64 * 1024  # size of a read of input that is discarded
@@ -135,7 +136,7 @@
 class ReadProgress:
     """How far a client has read its responses."""
 
-    unread_bytes: int  # in the kernel, when the client was last seen to read
+    unread: UnreadOutput  # when the client was last seen to read
     at_s: float  # loop time of that
 
 
--- a/sidecar_proxy/http1/server.py
+++ b/sidecar_proxy/http1/server.py
@@ -19,7 +19,7 @@
 from sidecar_proxy.http1.admission import Admission
 from sidecar_proxy.http1.client import ClientConnection
 from sidecar_proxy.http1.header_block import HeaderBlock
-from sidecar_proxy.http1.kernel_buffers import kernel_output_bytes
+from sidecar_proxy.http1.kernel_buffers import measure_unread_output
 from sidecar_proxy.http1.listener import (
     DownstreamConnection,
     Listener,
@@ -47,8 +47,6 @@
 MAX_DEADLINE_BEFORE_KILL_S = 3.0
 KILL_MARGIN_S = 0.5
 FLUSH_TIMEOUT_S = 1.0  # maximum time for clients to read the last responses at a shutdown
-READ_STALL_TIMEOUT_S = 10.0  # a client that reads nothing of its responses for this long is disconnected
-MIN_READ_BYTES = 2048  # less is what the kernels exchange although the client does not read
 EVICTION_READ_STALL_S = 3.0  # the same, if its place is needed for a new connection
 CLIENT_SEND_BUFFER_BYTES = 64 * 1024  # of the kernel, for each client connection
 # An incomplete request of which nothing has arrived for this long may be rejected if memory is needed.
@@ -204,16 +202,16 @@
         """Close the connection if its client does not go on reading, until it is in `unread_connections`."""
         if connection not in self.unread_connections:
             self.unread_connections[connection] = ReadProgress(
-                kernel_output_bytes(connection.transport), self.loop.time()
+                measure_unread_output(connection.transport), self.loop.time()
             )
 
     def close_unread_connections(self, now_s: float) -> None:
         """Close the connections whose client has stopped reading its responses."""
         for connection, progress in list(self.unread_connections.items()):
-            unread_bytes = kernel_output_bytes(connection.transport)
-            if abs(unread_bytes - progress.unread_bytes) >= MIN_READ_BYTES:
-                progress.unread_bytes, progress.at_s = unread_bytes, now_s
-            elif now_s - progress.at_s >= READ_STALL_TIMEOUT_S:
+            unread = measure_unread_output(connection.transport)
+            if unread.has_changed(progress.unread):
+                progress.unread, progress.at_s = unread, now_s
+            elif now_s - progress.at_s >= unread.stall_timeout_s:
                 self.engine.activity.closed(CloseReason.READ_STALL)
                 connection.close()
 
@@ -274,7 +272,8 @@
             if candidate.can_close():
                 return candidate
         for connection, progress in self.unread_connections.items():
-            if now_s - progress.at_s >= EVICTION_READ_STALL_S and connection in self.connections:
+            is_stalled = progress.unread.is_measured and now_s - progress.at_s >= EVICTION_READ_STALL_S
+            if is_stalled and connection in self.connections:
                 return connection
         return None
 
