Calls that are refused have a safe answer: poll, /proc and the size of the process

Now an event that can't be asked for is what each place says (EventPoll, out of http1/upstream.py): a client has not gone, a connection may have input and is not closed or used again, a silent watch is opened anew. A pipe that was opened again without blocking needs no poll, and the size of the process is else its peak by getrusage.

--- a/sidecar_proxy/daemon/log_output.py
+++ b/sidecar_proxy/daemon/log_output.py
@@ -15,8 +15,8 @@
 STANDARD_ERROR = 2
 
 
-def open_output(descriptor: int) -> int:
-    """Return a non-blocking descriptor for the same pipe; the same descriptor for anything else.
+def open_non_blocking(descriptor: int) -> int | None:
+    """Return a non-blocking descriptor for the same pipe; None if it is no pipe, or can't be opened again.
 
     The flag belongs to what is opened, which other processes share, so the pipe is opened once more.
     """
@@ -25,7 +25,7 @@
             return os.open(f"/proc/self/fd/{descriptor}", os.O_WRONLY | os.O_NONBLOCK | os.O_CLOEXEC)
     except OSError:
         pass  # polled only: another writer may fill the pipe between poll and write
-    return descriptor
+    return None
 
 
 class NonBlockingLogHandler(logging.Handler):
@@ -33,7 +33,9 @@
 
     def __init__(self, descriptor: int = STANDARD_ERROR) -> None:
         super().__init__()
-        self.descriptor = open_output(descriptor)
+        non_blocking = open_non_blocking(descriptor)
+        self.may_block = non_blocking is None
+        self.descriptor = descriptor if non_blocking is None else non_blocking
         self.writable = select.poll()
         self.writable.register(self.descriptor, select.POLLOUT)
         self.dropped_count = 0
@@ -55,10 +57,14 @@
     def write(self, data: bytes) -> bool:
         """Write data of up to MAX_LINE_BYTES; return False if it is not accepted now."""
         try:
-            return bool(self.writable.poll(0)) and os.write(self.descriptor, data) == len(data)
+            return self.is_writable() and os.write(self.descriptor, data) == len(data)
         except OSError:  # no reader, no space, or filled by another process meanwhile
             return False
 
+    def is_writable(self) -> bool:
+        """Return whether a write does not block. Raises OSError if that is unknown."""
+        return not self.may_block or bool(self.writable.poll(0))
+
 
 def configure_logging() -> None:
     """Log to standard error, as the operators' pages say."""
--- a/sidecar_proxy/discovery/platform_client.py
+++ b/sidecar_proxy/discovery/platform_client.py
@@ -27,7 +27,8 @@
 from sidecar_proxy.engine.interfaces import EndpointListListener, ListedUpstream
 from sidecar_proxy.engine.memory_budget import DEFAULT_BUDGET_BYTES, MemoryAccount, MemoryBudget
 from sidecar_proxy.engine.read_turns import ReadTurns
-from sidecar_proxy.http1.upstream import MAX_HEAD_BYTES, make_input_poll
+from sidecar_proxy.http1.event_poll import make_input_poll
+from sidecar_proxy.http1.upstream import MAX_HEAD_BYTES
 
 log = logging.getLogger("sidecar_proxy")
 
@@ -438,7 +439,11 @@
         After a long iteration of the event loop, timers run before the data that arrived in the meantime.
         """
         transport = self.transport
-        if transport is not None and not transport.is_closing() and make_input_poll(transport).poll(0):
+        if transport is None or transport.is_closing():
+            has_input = False
+        else:
+            has_input = make_input_poll(transport).has_occurred(if_unknown=False)
+        if has_input:
             self.restart_idle_timer()
         else:
             self.fail("idle timeout: no data received")
--- a/sidecar_proxy/engine/memory_budget.py
+++ b/sidecar_proxy/engine/memory_budget.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import resource
 from dataclasses import dataclass
 
 from sidecar_proxy.engine.read_buffer import READ_BYTES, ReadBuffer
@@ -36,9 +37,12 @@
 
 
 def resident_bytes() -> int:
-    """Return the memory that this process holds now."""
-    with open("/proc/self/statm", "rb") as file:
-        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    """Return the memory that this process holds now; its peak, which is more, if that is unknown."""
+    try:
+        with open("/proc/self/statm", "rb") as file:
+            return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, ValueError, IndexError):
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
 
 
 @dataclass(frozen=True, slots=True)
--- a/sidecar_proxy/grpc/front.py
+++ b/sidecar_proxy/grpc/front.py
@@ -22,9 +22,9 @@
 from sidecar_proxy.grpc.status import Code, encode_message
 from sidecar_proxy.grpc.upstream import UpstreamPool
 from sidecar_proxy.http1.client import ClientConnection
+from sidecar_proxy.http1.event_poll import make_hangup_poll, make_input_poll
 from sidecar_proxy.http1.listener import DownstreamConnection, Listener
 from sidecar_proxy.http1.request import RequestRejectedError as HttpRejected
-from sidecar_proxy.http1.upstream import make_hangup_poll, make_input_poll
 from sidecar_proxy.http2.connection import (
     CANCEL,
     NO_ERROR,
@@ -214,7 +214,7 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return True
-        return bool(make_hangup_poll(transport).poll(0))
+        return make_hangup_poll(transport).has_occurred(if_unknown=False)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the open calls, and remove the connection from the listener."""
@@ -520,7 +520,7 @@
             return True
         if self.pending or self.linger_deadlines:
             return False
-        return not make_input_poll(self.transport).poll(0)
+        return not make_input_poll(self.transport).has_occurred(if_unknown=True)
 
     def is_delivering(self) -> bool:
         """Return False: a call that is not complete at the end of a shutdown is ended with a status."""
--- a/sidecar_proxy/grpc/upstream.py
+++ b/sidecar_proxy/grpc/upstream.py
@@ -15,7 +15,8 @@
 from sidecar_proxy.grpc.message import first_message_size
 from sidecar_proxy.grpc.metadata import Headers, Request, first_value
 from sidecar_proxy.grpc.outcome import AttemptEnd, AttemptResult
-from sidecar_proxy.http1.upstream import LOCAL_ERRNOS, ConnectionPool, as_protocol, make_input_poll
+from sidecar_proxy.http1.event_poll import make_input_poll
+from sidecar_proxy.http1.upstream import LOCAL_ERRNOS, ConnectionPool, as_protocol
 from sidecar_proxy.http2.connection import (
     CANCEL,
     NO_ERROR,
@@ -337,7 +338,7 @@
         The unread input may be a GOAWAY or the connection's end. The sidecar could not tell whether a call
         that is written after it was executed.
         """
-        if self.transport is None or self.poll.poll(0):
+        if self.transport is None or self.input_poll.has_occurred(if_unknown=False):
             self.pending_attempts.append(attempt)
         else:
             attempt.begin(self)
@@ -363,7 +364,7 @@
         # Data in the transport's buffer cannot be taken back. With limit 0 the transport reports whether any
         # is buffered, see `unwritten_attempts`.
         self.transport.set_write_buffer_limits(high=0)
-        self.poll = make_input_poll(transport)
+        self.input_poll = make_input_poll(transport)
         self.last_received_s = self.loop.time()
 
     def flush(self) -> None:
--- a/sidecar_proxy/http1/client.py
+++ b/sidecar_proxy/http1/client.py
@@ -5,7 +5,6 @@
 import asyncio
 import http
 import logging
-import select
 import socket
 from collections.abc import Callable
 from typing import cast
@@ -22,6 +21,7 @@
 from sidecar_proxy.engine.byte_blocks import ByteBlocks
 from sidecar_proxy.engine.input_watch import InputWatch
 from sidecar_proxy.engine.memory_budget import SMALL_READ_BYTES, MemoryAccount
+from sidecar_proxy.http1.event_poll import EventPoll, make_hangup_poll, make_input_poll
 from sidecar_proxy.http1.header_block import DROPPED_REQUEST_HEADERS, HeaderBlock
 from sidecar_proxy.http1.kernel_buffers import (
     MAX_KERNEL_SEND_BYTES,
@@ -32,7 +32,7 @@
 from sidecar_proxy.http1.listener import Listener
 from sidecar_proxy.http1.request import MAX_UPLOAD_DURATION_US, RequestRejectedError
 from sidecar_proxy.http1.response_stream import QueuedRequest, ResponseStream
-from sidecar_proxy.http1.upstream import MAX_HEAD_BYTES, make_hangup_poll, make_input_poll
+from sidecar_proxy.http1.upstream import MAX_HEAD_BYTES
 
 log = logging.getLogger("sidecar_proxy")
 
@@ -183,7 +183,7 @@
         self.slice_bytes = MIN_SLICE_BYTES
         self.is_parse_scheduled = False
         self.is_parsing = False
-        self.hangup_poll: select.poll | None = None
+        self.hangup_poll: EventPoll | None = None
         # What keeps the connection from reading
         self.is_paused = False
         self.paused_at_s = 0.0
@@ -518,7 +518,7 @@
             return True
         if self.hangup_poll is None:
             self.hangup_poll = make_hangup_poll(transport)
-        return bool(self.hangup_poll.poll(0))
+        return self.hangup_poll.has_occurred(if_unknown=False)
 
     def pause_writing(self) -> None:
         """Record that the kernel does not accept all output: the client does not read it."""
@@ -562,7 +562,9 @@
             return True
         if self.is_write_paused:
             return False
-        return self.is_discarding or not (self.unparsed or make_input_poll(self.transport).poll(0))
+        if self.is_discarding or self.unparsed:
+            return self.is_discarding
+        return not make_input_poll(self.transport).has_occurred(if_unknown=True)
 
     def has_unsent_output(self) -> bool:
         """Return whether the transport still buffers output."""
--- a/sidecar_proxy/http1/server.py
+++ b/sidecar_proxy/http1/server.py
@@ -18,6 +18,7 @@
 from sidecar_proxy.engine.memory_budget import CLIENT_CONNECTION_BYTES, FREE_BYTES
 from sidecar_proxy.http1.admission import Admission
 from sidecar_proxy.http1.client import ClientConnection
+from sidecar_proxy.http1.event_poll import EventPoll
 from sidecar_proxy.http1.header_block import HeaderBlock
 from sidecar_proxy.http1.kernel_buffers import measure_unread_output
 from sidecar_proxy.http1.listener import (
@@ -31,7 +32,7 @@
     WaitingForTurn,
 )
 from sidecar_proxy.http1.request import RequestParser, RequestRejectedError
-from sidecar_proxy.http1.upstream import as_protocol, make_poll
+from sidecar_proxy.http1.upstream import as_protocol
 
 log = logging.getLogger("sidecar_proxy")
 
@@ -475,8 +476,8 @@
             self.accept()
             # Closing the listening socket resets the connections in its backlog, and their requests are lost.
             # At the limit of connections these have to wait until others have been answered.
-            backlog = make_poll(self.listening_socket.fileno(), select.POLLIN)
-            while self.loop.time() < deadline_s and backlog.poll(0):
+            backlog = EventPoll(self.listening_socket.fileno(), select.POLLIN)
+            while self.loop.time() < deadline_s and backlog.has_occurred(if_unknown=True):
                 await asyncio.sleep(POLL_INTERVAL_S)
                 self.accept()
         self.pause_accepting()
--- a/sidecar_proxy/http1/upstream.py
+++ b/sidecar_proxy/http1/upstream.py
@@ -5,7 +5,6 @@
 import asyncio
 import errno
 import logging
-import select
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -37,6 +36,7 @@
 from sidecar_proxy.engine.memory_waiters import MemoryWaiters
 from sidecar_proxy.engine.response_floor import ResponseFloor
 from sidecar_proxy.engine.timers import Timer, TimerQueue
+from sidecar_proxy.http1.event_poll import make_input_poll
 from sidecar_proxy.http1.header_block import DROPPED_RESPONSE_HEADERS, HeaderBlock
 from sidecar_proxy.http1.repeated_responses import RepeatedResponses
 
@@ -186,26 +186,6 @@
         self.finish(api.Outcome.TIMEOUT)
 
 
-def make_poll(descriptor: int, events: int) -> select.poll:
-    """Return a poll object whose poll(0) reports whether one of the events has occurred."""
-    poll = select.poll()
-    poll.register(descriptor, events)
-    return poll
-
-
-def make_hangup_poll(transport: asyncio.BaseTransport) -> select.poll:
-    """Return a poll object whose poll(0) reports whether the remote end has closed or reset the connection.
-
-    It reports that even if there is unread input before the close.
-    """
-    return make_poll(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-
-
-def make_input_poll(transport: asyncio.BaseTransport) -> select.poll:
-    """Return a poll object whose poll(0) reports whether there is unread input."""
-    return make_poll(transport.get_extra_info("socket").fileno(), select.POLLIN)
-
-
 class UpstreamConnection:
     """A connection that carries one exchange at a time and is kept in the pool in between.
 
@@ -297,7 +277,7 @@
             self.transport is not None
             and not self.transport.is_closing()
             and time.monotonic() - self.idle_since_s < self.pool.idle_timeout_s
-            and not self.unread_poll.poll(0)
+            and not self.unread_poll.has_occurred(if_unknown=True)
         )
 
     def begin(self, exchange: Exchange) -> None:
--- a/tests/crossings/test_watches.py
+++ b/tests/crossings/test_watches.py
@@ -23,7 +23,7 @@
 from sidecar_proxy.discovery.platform_client import WATCH_IDLE_TIMEOUT_S
 from sidecar_proxy.discovery.platform_client import PlatformDiscoveryClient as Watcher
 from sidecar_proxy.engine.interfaces import ListedUpstream
-from sidecar_proxy.http1.upstream import make_input_poll
+from sidecar_proxy.http1.event_poll import make_input_poll
 from tests.balancer.harness import settings
 from tests.sockets import LONG_S, Discovery, Sidecar, Upstream, eventually
 
@@ -165,7 +165,7 @@
 
         def tell() -> None:
             agent.sendall(chunk(line(8, entry("one", "terminating")) + line(9, entry("two", "terminating"))))
-            assert waits.poll(LONG_S * 1000)  # it is there, and the loop has had no turn
+            assert waits.poll.poll(LONG_S * 1000)  # it is there, and the loop has had no turn
 
         def hold_up() -> None:
             loop.remove_reader(other)
--- /dev/null
+++ b/tests/process_faults/test_refused_calls.py
@@ -0,0 +1,59 @@
+"""System calls that are refused all the time cost no request its answer, and the process no planned stop."""
+
+from __future__ import annotations
+
+import signal
+import threading
+
+import pytest
+
+from tests.process_faults.environment_faults import EnvironmentFaults
+from tests.sockets import LONG_S, Message, Sidecar, Upstream, answer, eventually
+
+REFUSED_CALLS = [
+    ("sigtimedwait",),
+    ("pthread_sigmask",),
+    ("tcp_info",),
+    ("tiocoutq", "fionread", "socket_buffers"),
+    ("poll",),
+    ("proc",),
+    ("io_uring", "splice", "sendfile", "fork"),
+]
+
+
+@pytest.mark.parametrize("refused", REFUSED_CALLS, ids="-".join)
+def test_requests_are_answered_and_the_stop_is_planned_although_calls_are_refused(
+    refused: tuple[str, ...],
+) -> None:
+    release = threading.Event()
+
+    def respond(request: Message, client: object) -> bytes:
+        if request.start.startswith("POST"):
+            release.wait(LONG_S)
+        return answer(b"ok")
+
+    env = EnvironmentFaults(refused_calls=refused).variables()
+    with Upstream(script=respond) as upstream, Sidecar([upstream], env=env) as sidecar:
+        client = sidecar.client()
+        for _ in range(3):
+            assert client.request("GET", "/read/1").status == 200
+        sidecar.process.send_signal(signal.SIGHUP)
+        eventually(lambda: [line for line in sidecar.log_lines if "configuration reloaded" in line])
+        client.send("POST", "/pay/1", b"x", Req_Deadline="15.0")
+        eventually(lambda: [request for request in upstream.requests if request.start.startswith("POST")])
+        sidecar.process.terminate()
+        eventually(lambda: [line for line in sidecar.log_lines if "SIGTERM: shutting down" in line])
+        release.set()
+        response = client.read()
+        assert response is not None
+        assert response.status == 200
+        client.close()
+        assert sidecar.process.wait(LONG_S) == 0
+
+
+def test_accept_that_fails_now_and_then_loses_no_request() -> None:
+    faults = EnvironmentFaults(accept_period=3).variables()
+    with Upstream() as upstream, Sidecar([upstream], env=faults) as sidecar:
+        for _ in range(40):  # each documented error, once
+            assert sidecar.request("GET", "/read/1").status == 200
+        assert sidecar.stop() == 0
