A drain does not end when the folder of the sidecar is gone

`GET /ready` of a sidecar that an operator had drained answered 200 again once its $TMPDIR had been removed: a marker that could not be looked for was taken for one that another process had removed.

Now a folder that can't be read says nothing, and the drain stays what it was. Found by asking what else may change around the process.

--- a/sidecar_proxy/admin/commands.py
+++ b/sidecar_proxy/admin/commands.py
@@ -105,14 +105,14 @@
     def pause(self, _: str) -> str:
         """Drain this sidecar, and the process that replaces this one."""
         is_stored = self.hot_restart.drain_marker.create()
-        self.is_marked_drained = self.hot_restart.drain_marker.exists()
+        self.is_marked_drained = self.hot_restart.drain_marker.exists(if_unknown=False)
         self.server.drain()
         return DONE if is_stored else DONE_NOT_STORED
 
     def resume(self, _: str) -> str:
         """End the drain of this sidecar."""
         is_stored = self.hot_restart.drain_marker.remove()
-        self.is_marked_drained = self.hot_restart.drain_marker.exists()
+        self.is_marked_drained = self.hot_restart.drain_marker.exists(if_unknown=False)
         self.server.undrain()
         return DONE if is_stored else DONE_NOT_STORED
 
@@ -134,11 +134,11 @@
             self.follow_drain_marker()
         else:
             self.hot_restart.drain_marker.remove()
-            self.is_marked_drained = self.hot_restart.drain_marker.exists()
+            self.is_marked_drained = self.hot_restart.drain_marker.exists(if_unknown=False)
 
     def follow_drain_marker(self) -> None:
         """Begin or end a drain if an operator has done so at another process of this sidecar."""
-        is_marked = self.hot_restart.drain_marker.exists()
+        is_marked = self.hot_restart.drain_marker.exists(if_unknown=self.is_marked_drained)
         if is_marked == self.is_marked_drained:
             return
         self.is_marked_drained = is_marked
--- a/sidecar_proxy/admin/drain_marker.py
+++ b/sidecar_proxy/admin/drain_marker.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import os
 from pathlib import Path
 
 from sidecar_proxy.admin.shared_folder import write_atomically
@@ -42,9 +43,15 @@
             return self._warn_not_stored(error)
         return True
 
-    def exists(self) -> bool:
-        """Return whether the sidecar is marked as drained."""
-        return self.path is not None and self.path.exists()
+    def exists(self, if_unknown: bool) -> bool:
+        """Return whether the sidecar is marked as drained; `if_unknown` if its folder can't be read."""
+        if self.path is None:
+            return False
+        try:
+            names = os.listdir(self.path.parent)
+        except OSError:
+            return if_unknown
+        return self.path.name in names
 
     @staticmethod
     def _warn_not_stored(error: OSError) -> bool:
