Refused file locks and allocations are played as well

The admin server's files can be neither locked nor allocated: requests are answered, an unsafe id runs once, a drain holds, the stop is planned. The test passed before any change, so nothing was mended for it.

--- a/tests/process_faults/test_inherited_signals.py
+++ b/tests/process_faults/test_inherited_signals.py
@@ -46,8 +46,10 @@
         sidecar = Sidecar([upstream], before=signal_itself(signal.SIGTERM, delay_s))
         with suppress(AssertionError, OSError):  # it may end before it listens, or before it is asked
             sidecar.__enter__()
-        status = sidecar.process.wait(LONG_S)
-        sidecar.__exit__()
+        try:
+            status = sidecar.process.wait(LONG_S)
+        finally:
+            sidecar.__exit__()
         assert status in ([0] if sidecar.startup_lines() else [0, -signal.SIGTERM])
 
 
--- a/tests/process_faults/test_refused_calls.py
+++ b/tests/process_faults/test_refused_calls.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import signal
+import tempfile
 import threading
 
 import pytest
 
+from tests.admin.admin_sidecar import AdminSidecar
 from tests.process_faults.environment_faults import EnvironmentFaults
 from tests.sockets import LONG_S, Message, Sidecar, Upstream, answer, eventually
 
@@ -51,6 +53,21 @@
         assert sidecar.process.wait(LONG_S) == 0
 
 
+def test_sidecar_with_an_admin_server_serves_although_files_cannot_be_locked_or_allocated() -> None:
+    env = EnvironmentFaults(refused_calls=("flock", "fallocate")).variables()
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Upstream() as upstream,
+        AdminSidecar([upstream], folder, env=env) as sidecar,
+    ):
+        assert sidecar.request("POST", "/pay/1", b"x", Req_Id="id-1").status == 200
+        assert sidecar.request("POST", "/pay/1", b"x", Req_Id="id-1").status == 409
+        assert sidecar.call("PAUSE") == "done"
+        assert sidecar.request("GET", "/ready").status == 503
+        assert len(upstream.requests) == 1
+        assert sidecar.stop() == 0
+
+
 def test_accept_that_fails_now_and_then_loses_no_request() -> None:
     faults = EnvironmentFaults(accept_period=3).variables()
     with Upstream() as upstream, Sidecar([upstream], env=faults) as sidecar:
