Background threads and held requests of the fault tests stand once

The thread that runs until it is told to stop stood three times, the upstream that holds an answer back three times.

--- a/tests/process_faults/crowd.py
+++ b/tests/process_faults/crowd.py
@@ -7,7 +7,7 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -130,11 +130,23 @@
         return self.response is not None and self.took_s <= POLITE_DEADLINE_S + ANSWER_SLACK_S
 
 
+@contextlib.contextmanager
+def in_background(work: Callable[[threading.Event], None]) -> Iterator[None]:
+    """Run a function in a thread; the event that it is given is set at the end."""
+    is_over = threading.Event()
+    thread = threading.Thread(target=work, args=(is_over,), daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        is_over.set()
+        thread.join(LONG_S)
+
+
 @contextlib.contextmanager
 def polite_client(sidecar: Sidecar) -> Iterator[list[PoliteRequest]]:
     """Run a client that sends one request after another, each on a connection of its own."""
     requests: list[PoliteRequest] = []
-    is_over = threading.Event()
 
     def send_one() -> Message | None:
         client = Client(sidecar.address)
@@ -144,7 +156,7 @@
         finally:
             client.close()
 
-    def work() -> None:
+    def work(is_over: threading.Event) -> None:
         while not is_over.wait(0.05):
             began_s = time.monotonic()
             try:
@@ -153,13 +165,8 @@
                 response = None
             requests.append(PoliteRequest(response, time.monotonic() - began_s))
 
-    thread = threading.Thread(target=work, daemon=True)
-    thread.start()
-    try:
+    with in_background(work):
         yield requests
-    finally:
-        is_over.set()
-        thread.join(LONG_S)
 
 
 def many_entries(upstream: Upstream, count: int = 40) -> list[dict[str, Any]]:
--- a/tests/process_faults/test_fair_share.py
+++ b/tests/process_faults/test_fair_share.py
@@ -8,12 +8,13 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
+from functools import partial
 
 import pytest
 
-from tests.process_faults.crowd import LimitedSidecar, connect, polite_client, request_head
-from tests.sockets import LONG_S, Upstream
+from tests.process_faults.crowd import LimitedSidecar, connect, in_background, polite_client, request_head
+from tests.sockets import Upstream
 
 FLOOD_S = 3.0
 HEAD = "Host: backend.local\r\nReq-Deadline: 1.0\r\n"
@@ -118,19 +119,11 @@
                     return
 
 
-@contextlib.contextmanager
 def flooding_client(
     sidecar: LimitedSidecar, make: Callable[[int], bytes], is_reading: bool
-) -> Iterator[None]:
+) -> contextlib.AbstractContextManager[None]:
     """Run a client that floods the sidecar."""
-    is_over = threading.Event()
-    thread = threading.Thread(target=flood, args=(sidecar.address, make, is_reading, is_over), daemon=True)
-    thread.start()
-    try:
-        yield
-    finally:
-        is_over.set()
-        thread.join(LONG_S)
+    return in_background(partial(flood, sidecar.address, make, is_reading))
 
 
 @pytest.mark.parametrize("is_reading", [True, False], ids=["reading", "not reading"])
--- a/tests/process_faults/test_foreign_threads.py
+++ b/tests/process_faults/test_foreign_threads.py
@@ -3,44 +3,26 @@
 from __future__ import annotations
 
 import signal
-import threading
 
 import pytest
 
 from tests.process_faults.environment_faults import FOREIGN_CLOCK, WAITING_THREAD, EnvironmentFaults
-from tests.sockets import LONG_S, Message, Sidecar, Upstream, answer, eventually
+from tests.process_faults.held_request import HeldRequest, HoldingUpstream
+from tests.sockets import LONG_S, Sidecar, eventually
 
 ENVIRONMENTS = pytest.mark.parametrize("faults", [WAITING_THREAD, FOREIGN_CLOCK], ids=["thread", "clock"])
 
 
-class HoldingUpstream(Upstream):
-    """Answers once it is released."""
-
-    def __init__(self) -> None:
-        self.released = threading.Event()
-        super().__init__(script=self.respond)
-
-    def respond(self, request: Message, client: object) -> bytes:
-        """Wait, and answer."""
-        self.released.wait(LONG_S)
-        return answer(b"held")
-
-
 @ENVIRONMENTS
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_stop_signal_that_another_thread_takes_loses_no_request(
     number: signal.Signals, faults: EnvironmentFaults
 ) -> None:
     with HoldingUpstream() as upstream, Sidecar([upstream], env=faults.variables()) as sidecar:
-        client = sidecar.client()
-        client.send("POST", "/pay/1", b"x", Req_Deadline="15.0")
-        eventually(lambda: upstream.requests)
+        request = HeldRequest(sidecar, upstream)
         sidecar.process.send_signal(number)
         eventually(lambda: sidecar.request("GET", "/ready").status == 503)
-        upstream.released.set()
-        response = client.read()
-        assert response is not None
-        assert response.body == b"held"
+        request.assert_answered_after_release()
         assert sidecar.process.wait(LONG_S) == 0
 
 
@@ -50,14 +32,9 @@
     number: signal.Signals, faults: EnvironmentFaults
 ) -> None:
     with HoldingUpstream() as upstream, Sidecar([upstream], env=faults.variables()) as sidecar:
-        client = sidecar.client()
-        client.send("POST", "/pay/1", b"x", Req_Deadline="15.0")
-        eventually(lambda: upstream.requests)
+        request = HeldRequest(sidecar, upstream)
         sidecar.process.send_signal(number)
         if number == signal.SIGHUP:
             eventually(lambda: [line for line in sidecar.log_lines if "configuration reloaded" in line])
-        upstream.released.set()
-        response = client.read()
-        assert response is not None
-        assert response.body == b"held"
+        request.assert_answered_after_release()
         assert sidecar.stop() == 0
--- a/tests/process_faults/test_refused_calls.py
+++ b/tests/process_faults/test_refused_calls.py
@@ -4,13 +4,13 @@
 
 import signal
 import tempfile
-import threading
 
 import pytest
 
 from tests.admin.admin_sidecar import AdminSidecar
 from tests.process_faults.environment_faults import EnvironmentFaults
-from tests.sockets import LONG_S, Message, Sidecar, Upstream, answer, eventually
+from tests.process_faults.held_request import HeldRequest, HoldingUpstream
+from tests.sockets import LONG_S, Sidecar, Upstream, eventually
 
 REFUSED_CALLS = [
     ("sigtimedwait",),
@@ -27,28 +27,17 @@
 def test_requests_are_answered_and_the_stop_is_planned_although_calls_are_refused(
     refused: tuple[str, ...],
 ) -> None:
-    release = threading.Event()
-
-    def respond(request: Message, client: object) -> bytes:
-        if request.start.startswith("POST"):
-            release.wait(LONG_S)
-        return answer(b"ok")
-
     env = EnvironmentFaults(refused_calls=refused).variables()
-    with Upstream(script=respond) as upstream, Sidecar([upstream], env=env) as sidecar:
+    with HoldingUpstream() as upstream, Sidecar([upstream], env=env) as sidecar:
         client = sidecar.client()
         for _ in range(3):
             assert client.request("GET", "/read/1").status == 200
         sidecar.process.send_signal(signal.SIGHUP)
         eventually(lambda: [line for line in sidecar.log_lines if "configuration reloaded" in line])
-        client.send("POST", "/pay/1", b"x", Req_Deadline="15.0")
-        eventually(lambda: [request for request in upstream.requests if request.start.startswith("POST")])
+        request = HeldRequest(sidecar, upstream)
         sidecar.process.terminate()
         eventually(lambda: [line for line in sidecar.log_lines if "SIGTERM: shutting down" in line])
-        release.set()
-        response = client.read()
-        assert response is not None
-        assert response.status == 200
+        request.assert_answered_after_release()
         client.close()
         assert sidecar.process.wait(LONG_S) == 0
 
--- a/tests/process_faults/test_signals_in_series.py
+++ b/tests/process_faults/test_signals_in_series.py
@@ -6,34 +6,28 @@
 import signal
 import threading
 import time
-from collections.abc import Iterator
 
 import pytest
 
-from tests.process_faults.crowd import LimitedSidecar, polite_client
+from tests.process_faults.crowd import LimitedSidecar, in_background, polite_client
 from tests.process_faults.environment_faults import NO_FAULTS, WAITING_THREAD, EnvironmentFaults
-from tests.sockets import LONG_S, Upstream, eventually
+from tests.process_faults.held_request import HeldRequest, HoldingUpstream
+from tests.sockets import LONG_S, Upstream
 
 FLOOD_S = 3.0
 THREADS = pytest.mark.parametrize("faults", [NO_FAULTS, WAITING_THREAD], ids=["", "foreign_thread"])
 
 
-@contextlib.contextmanager
-def signals_without_pause(sidecar: LimitedSidecar, signal_number: int) -> Iterator[None]:
+def signals_without_pause(
+    sidecar: LimitedSidecar, signal_number: int
+) -> contextlib.AbstractContextManager[None]:
     """Send a signal again and again as fast as the machine allows."""
-    is_over = threading.Event()
 
-    def send() -> None:
+    def send(is_over: threading.Event) -> None:
         while not is_over.is_set() and sidecar.process.poll() is None:
             sidecar.process.send_signal(signal_number)
 
-    thread = threading.Thread(target=send, daemon=True)
-    thread.start()
-    try:
-        yield
-    finally:
-        is_over.set()
-        thread.join(LONG_S)
+    return in_background(send)
 
 
 @THREADS
@@ -54,21 +48,13 @@
 def test_signals_during_a_planned_stop_do_not_hold_it_up(
     signal_number: int, faults: EnvironmentFaults
 ) -> None:
-    release = threading.Event()
-
-    def script(request: object, client: object) -> bytes:
-        release.wait(LONG_S)
-        return b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
-
-    with Upstream(script=script) as upstream, LimitedSidecar([upstream], env=faults.variables()) as sidecar:
-        client = sidecar.client()
-        client.send("POST", "/pay/1", b"x", Req_Deadline="15.0")
-        eventually(lambda: upstream.requests)
+    with (
+        HoldingUpstream() as upstream,
+        LimitedSidecar([upstream], env=faults.variables()) as sidecar,
+    ):
+        request = HeldRequest(sidecar, upstream)
         sidecar.process.terminate()
         with signals_without_pause(sidecar, signal_number):
             time.sleep(0.5)
-            release.set()
-            response = client.read()
-            assert response is not None
-            assert response.status == 200
+            request.assert_answered_after_release()
             assert sidecar.process.wait(LONG_S) == 0
