A connection that is closing has not been left by its client

A client that read a long answer slowly did not get its last kilobytes, if its connection was to be closed after the answer (Connection: close, or any answer during a shutdown).

Cause: the check for clients that have left, 20 times a second for connections whose reading is paused, took one that the sidecar itself was closing for one whose client had gone, and aborted it with what was not written yet. The log told it: `1 closed (client gone)` at the end of such an answer.

Now a connection that is closing is left to end by itself. Its unread output is measured until then, so that one whose client has stopped reading still ends after 10 s.

--- a/sidecar_proxy/http1/kernel_buffers.py
+++ b/sidecar_proxy/http1/kernel_buffers.py
@@ -35,13 +35,16 @@
 
 
 def query(transport: asyncio.BaseTransport | None, request: int) -> int:
-    """Return the answer to a request of ioctl(2) for a number; UNKNOWN if there is none."""
-    if transport is None or transport.is_closing():
+    """Return the answer to a request of ioctl(2) for a number; UNKNOWN if there is none.
+
+    A transport that is closing has its descriptor until its output is written.
+    """
+    if transport is None:
         return UNKNOWN
     answer = bytearray(4)
     try:
         fcntl.ioctl(transport.get_extra_info("socket").fileno(), request, answer)
-    except OSError:
+    except (OSError, ValueError):  # ValueError: the socket is closed
         return UNKNOWN
     return int.from_bytes(answer, sys.byteorder)
 
@@ -72,10 +75,12 @@
 
 def measure_unread_output(transport: asyncio.Transport | None) -> UnreadOutput:
     """Return how much output of a transport its peer has not read."""
+    if transport is None:
+        return UnreadOutput(0, True)
     kernel_bytes = kernel_output_bytes(transport)
-    if kernel_bytes != UNKNOWN or transport is None:
-        return UnreadOutput(kernel_bytes, True)
-    return UnreadOutput(transport.get_write_buffer_size(), False)
+    if kernel_bytes == UNKNOWN:
+        return UnreadOutput(transport.get_write_buffer_size(), False)
+    return UnreadOutput(kernel_bytes, True)
 
 
 def kernel_input_bytes(transport: asyncio.BaseTransport | None) -> int:
--- a/sidecar_proxy/http1/listener.py
+++ b/sidecar_proxy/http1/listener.py
@@ -61,6 +61,8 @@
 class PausedConnection(Protocol):
     """A connection whose reading is paused."""
 
+    transport: asyncio.Transport | None
+
     def is_client_gone(self) -> bool:
         """Return whether a client that waited for a response has disconnected."""
 
--- a/sidecar_proxy/http1/server.py
+++ b/sidecar_proxy/http1/server.py
@@ -237,7 +237,9 @@
         Queued requests of such a client would otherwise be sent to an upstream later.
         """
         for connection in list(self.paused_connections):
-            if connection.is_client_gone():
+            if connection.transport is None or connection.transport.is_closing():
+                del self.paused_connections[connection]  # it ends once its output is written
+            elif connection.is_client_gone():
                 del self.paused_connections[connection]
                 self.engine.activity.closed(CloseReason.CLIENT_GONE)
                 connection.close()
--- a/tests/process_faults/test_slow_peers.py
+++ b/tests/process_faults/test_slow_peers.py
@@ -80,7 +80,8 @@
 
 
 @BUFFERS
-def test_long_answer_that_is_read_slowly_is_not_cut_off(faults: EnvironmentFaults) -> None:
+@pytest.mark.parametrize("header", ["", "Connection: close\r\n"], ids=["kept", "closed"])
+def test_long_answer_that_is_read_slowly_is_not_cut_off(header: str, faults: EnvironmentFaults) -> None:
     """A client that reads 64 kB a second, in bursts, of an answer that the kernels hold a large part of."""
     size, burst_s = 1_400_000, 1.0
 
@@ -90,7 +91,7 @@
     with Upstream(script=script) as upstream, Sidecar([upstream], env=faults.variables()) as sidecar:
         connection = connect(sidecar.address, SMALL_KERNEL_BUFFER_BYTES)
         connection.settimeout(LONG_S)
-        connection.sendall(request_head("GET", "/read/1", deadline_s=1.0))
+        connection.sendall(request_head("GET", "/read/1", extra=header, deadline_s=1.0))
         received = 0
         next_burst_s = time.monotonic()
         while received < size and (data := connection.recv(min(64_000, size - received))):
