A fault in the function of one signal does not cost another signal

The poller takes all signals that have come, and then calls their functions one after another. An exception in one (a recording that can't be written, on SIGUSR2) ended the loop, and a SIGTERM taken with it was never noticed.

Now the event loop calls each by itself.

--- a/sidecar_proxy/engine/signal_polling.py
+++ b/sidecar_proxy/engine/signal_polling.py
@@ -35,7 +35,7 @@
         for number in self.inbox.take():
             callback = self.callbacks.get(number)
             if callback is not None:
-                callback()
+                self.loop.call_soon(callback)  # by itself: a fault in it must not cost another signal
 
     def close(self) -> None:
         """Stop polling."""
