--- a/tests/process_faults/environment_faults.c
+++ b/tests/process_faults/environment_faults.c
@@ -156,11 +156,6 @@
     return is_refused("sigtimedwait") ? refuse() : call(set, info, timeout);
 }
 
-int sigpending(sigset_t *set) {
-    REAL(sigpending);
-    return is_refused("sigpending") ? refuse() : call(set);
-}
-
 int pthread_sigmask(int how, const sigset_t *set, sigset_t *old) {
     REAL(pthread_sigmask);
     return is_refused("pthread_sigmask") ? ENOSYS : call(how, set, old);
